--- /dev/null
+++ b/main.go
@@ -0,0 +1,4 @@
+// Command pistachiotack is an overload control layer for service call graphs.
+package main
+
+func main() {}
--- /dev/null
+++ b/pkg/member/doc.go
@@ -0,0 +1,2 @@
+// Package member holds the fleet's membership as pure state: entries, their life, merges and probes.
+package member
--- /dev/null
+++ b/pkg/tree/doc.go
@@ -0,0 +1,2 @@
+// Package tree holds the settings tree: its parsing, inheritance, rails, differences and merges.
+package tree
