--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,229 @@
+package peers_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiotack/pistachiotack/internal/kernel"
+	"github.com/pistachiotack/pistachiotack/internal/peers"
+)
+
+const patience = 10 * time.Second
+
+// Echo answers with what it was sent, unless it is told to wait or fail.
+type Echo struct {
+	hold chan struct{}
+}
+
+func (e *Echo) Say(text string, reply *string) error {
+	switch text {
+	case "fail":
+		return errors.New("said no")
+	case "hold":
+		<-e.hold
+	}
+	*reply = text
+
+	return nil
+}
+
+func start(t *testing.T, options peers.Options) *peers.Service {
+	t.Helper()
+	if options.Listen == "" {
+		options.Listen = "127.0.0.1:0"
+	}
+	service := peers.New(options)
+	done, err := service.Start(t.Context(), kernel.New(nil))
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), patience)
+		defer cancel()
+		require.NoError(t, service.Stop(ctx))
+		require.NoError(t, <-done)
+	})
+
+	return service
+}
+
+func startEcho(t *testing.T, options peers.Options) (*peers.Service, *Echo) {
+	t.Helper()
+	service := start(t, options)
+	echo := &Echo{hold: make(chan struct{})}
+	require.NoError(t, service.Register("Echo", echo))
+	t.Cleanup(sync.OnceFunc(func() { close(echo.hold) }))
+
+	return service, echo
+}
+
+func say(ctx context.Context, s *peers.Service, address, text string) (string, error) {
+	var reply string
+	err := s.Call(ctx, address, "Echo.Say", text, &reply)
+
+	return reply, err
+}
+
+func TestCallAnswersAndCounts(t *testing.T) {
+	server, _ := startEcho(t, peers.Options{})
+	client := start(t, peers.Options{})
+	for i := range 20 {
+		text := fmt.Sprint("text ", i)
+		got, err := say(t.Context(), client, server.Address(), text)
+		require.NoError(t, err)
+		require.Equal(t, text, got)
+	}
+	_, err := say(t.Context(), client, server.Address(), "fail")
+	require.ErrorIs(t, err, peers.ErrRemote)
+	require.Equal(t, 1, client.Open())
+	require.EqualValues(t, 1, client.Traffic().Dials)
+	require.Equal(t, client.Traffic().Sent, server.Traffic().Received)
+	require.Positive(t, client.Traffic().Received)
+}
+
+func TestUnreachable(t *testing.T) {
+	client := start(t, peers.Options{})
+	_, err := say(t.Context(), client, "127.0.0.1:1", "x")
+	require.ErrorIs(t, err, peers.ErrUnreachable)
+	require.Zero(t, client.Open())
+}
+
+func TestTimeoutLeavesOtherCallsAlone(t *testing.T) {
+	server, echo := startEcho(t, peers.Options{})
+	client := start(t, peers.Options{Timeout: patience})
+	other := make(chan error, 1)
+	go func() {
+		_, err := say(context.Background(), client, server.Address(), "hold")
+		other <- err
+	}()
+	require.Eventually(t, func() bool { return client.Traffic().Dials == 1 }, patience, time.Millisecond)
+	short, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := say(short, client, server.Address(), "hold")
+	require.ErrorIs(t, err, peers.ErrSilent)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	for range 2 {
+		echo.hold <- struct{}{}
+	}
+	require.NoError(t, <-other)
+	require.Eventually(t, func() bool { return client.Open() == 0 }, patience, time.Millisecond)
+}
+
+// blackhole passes bytes on until it is told to swallow those of the connections it has.
+type blackhole struct {
+	listener net.Listener
+	target   string
+	era      atomic.Int64
+}
+
+func newBlackhole(t *testing.T, target string) *blackhole {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	hole := &blackhole{listener: listener, target: target}
+	t.Cleanup(func() { _ = listener.Close() })
+	go hole.accept()
+
+	return hole
+}
+
+func (b *blackhole) accept() {
+	for {
+		near, err := b.listener.Accept()
+		if err != nil {
+			return
+		}
+		far, err := net.Dial("tcp", b.target)
+		if err != nil {
+			_ = near.Close()
+
+			continue
+		}
+		era := b.era.Load()
+		go b.pass(far, near, era)
+		go b.pass(near, far, era)
+	}
+}
+
+func (b *blackhole) pass(to io.WriteCloser, from io.ReadCloser, era int64) {
+	defer func() { _, _ = to.Close(), from.Close() }()
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		if b.era.Load() != era {
+			continue
+		}
+		if _, err := to.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
+}
+
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	server, _ := startEcho(t, peers.Options{})
+	hole := newBlackhole(t, server.Address())
+	client := start(t, peers.Options{Timeout: 100 * time.Millisecond})
+	address := hole.listener.Addr().String()
+	for round := range 3 {
+		_, err := say(t.Context(), client, address, "before")
+		require.NoError(t, err, "round %d", round)
+		hole.era.Add(1)
+		_, err = say(t.Context(), client, address, "lost")
+		require.ErrorIs(t, err, peers.ErrSilent)
+		got, err := say(t.Context(), client, address, "after")
+		require.NoError(t, err)
+		require.Equal(t, "after", got)
+	}
+	require.EqualValues(t, 4, client.Traffic().Dials)
+	require.Equal(t, 1, client.Open())
+}
+
+func TestRestartedPeerIsRedialled(t *testing.T) {
+	first := peers.New(peers.Options{Listen: "127.0.0.1:0"})
+	done, err := first.Start(t.Context(), nil)
+	require.NoError(t, err)
+	require.NoError(t, first.Register("Echo", &Echo{}))
+	address := first.Address()
+	client := start(t, peers.Options{})
+	_, err = say(t.Context(), client, address, "x")
+	require.NoError(t, err)
+	require.NoError(t, first.Stop(t.Context()))
+	require.NoError(t, <-done)
+
+	_, err = say(t.Context(), client, address, "x")
+	require.Error(t, err)
+	startEcho(t, peers.Options{Listen: address})
+	_, err = say(t.Context(), client, address, "x")
+	require.NoError(t, err)
+}
+
+func TestOpenConnectionsAreBoundedAndIdleOnesClosed(t *testing.T) {
+	client := start(t, peers.Options{MaxOpen: 2, Idle: 200 * time.Millisecond})
+	var calls sync.WaitGroup
+	for range 8 {
+		server, _ := startEcho(t, peers.Options{})
+		calls.Go(func() {
+			for range 5 {
+				_, err := say(context.Background(), client, server.Address(), "x")
+				if err != nil {
+					t.Error(err)
+				}
+				if open := client.Open(); open > 2 {
+					t.Errorf("%d connections open", open)
+				}
+			}
+		})
+	}
+	calls.Wait()
+	require.Eventually(t, func() bool { return client.Open() == 0 }, patience, 10*time.Millisecond)
+}
