--- /dev/null
+++ b/pkg/tree/check.go
@@ -0,0 +1,167 @@
+package tree
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// declare takes over the places and services that the text declares.
+func (r *reader) declare() {
+	for _, s := range r.tree.statements {
+		switch s.Key {
+		case keyPlaces:
+			r.tree.places = s.Value.list
+		case keyServices:
+			r.tree.services = s.Value.list
+		default:
+			continue
+		}
+		r.checkDeclared(s)
+	}
+}
+
+func (r *reader) checkDeclared(s Statement) {
+	seen := map[string]bool{}
+	for _, name := range s.Value.list {
+		if !validName(name) || seen[name] {
+			r.add(CodeContradiction, s.Key, s.Line, fmt.Sprintf("%q", name), "", "each name once, of lower-case letters, digits and hyphens")
+		}
+		seen[name] = true
+	}
+}
+
+func validName(name string) bool {
+	outside := func(c rune) bool { return (c < 'a' || c > 'z') && (c < '0' || c > '9') && c != '-' }
+
+	return name != "" && !strings.ContainsFunc(name, outside)
+}
+
+// checkNames refuses levels whose place, service or kind is not declared.
+func (r *reader) checkNames() {
+	reported := map[Path]bool{}
+	for _, table := range r.tables {
+		if reported[table.path] {
+			continue
+		}
+		reported[table.path] = true
+		r.checkName(CodeUnknownPlace, table, table.path.Place, r.tree.places, keyPlaces)
+		r.checkName(CodeUnknownService, table, table.path.Service, r.tree.services, keyServices)
+		if table.path.Place != "" {
+			r.checkName(CodeUnknownKind, table, table.path.Kind, r.tree.Kinds(table.path.Service), "service."+table.path.Service+".kind")
+		}
+	}
+}
+
+func (r *reader) checkName(code Code, table table, name string, known []string, where string) {
+	if name == "" || slices.Contains(known, name) {
+		return
+	}
+	allowed := levelNames(known)
+	if len(known) == 0 {
+		allowed = "none is declared in " + where
+	}
+	r.add(code, table.path.String(), table.line, fmt.Sprintf("%q", name), nearest(name, known), allowed)
+}
+
+// checkKinds refuses kinds without a pattern, or with one that another kind has as well.
+func (r *reader) checkKinds() {
+	patterns := map[string]string{}
+	kinds := map[string]int{}
+	for _, path := range r.kindPaths() {
+		line := r.lineOf(path)
+		pattern, found := r.tree.Stated(path.Dotted(keyPath))
+		if !found {
+			r.add(CodeContradiction, path.String(), line, "a kind without path", "", `path = "/readings/*"`)
+
+			continue
+		}
+		if kinds[path.Service]++; kinds[path.Service] > maxKindsPerService {
+			r.add(CodeTooLarge, path.String(), line, "kinds of the service", "", fmt.Sprintf("up to %d", maxKindsPerService))
+		}
+		if !validPattern(pattern.Value.text) {
+			r.add(CodeBadUnit, pattern.Dotted(), pattern.Line, pattern.Value.String(), "", `"/a/*/b" or "/a/**"`)
+		}
+		method, stated := r.tree.Stated(path.Dotted(keyMethod))
+		if stated && !slices.Contains(methods, method.Value.text) {
+			r.add(CodeBadUnit, method.Dotted(), method.Line, method.Value.String(), nearest(method.Value.text, methods), strings.Join(methods, ", "))
+		}
+		match := path.Service + " " + method.Value.text + " " + pattern.Value.text
+		if other, taken := patterns[match]; taken {
+			r.add(CodeContradiction, path.String(), line, "matches the same requests as "+other, "", "one kind for each method and path")
+		}
+		patterns[match] = path.Kind
+	}
+}
+
+var methods = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
+
+// kindPaths returns each kind that is declared below a service, once.
+func (r *reader) kindPaths() []Path {
+	var paths []Path
+	for _, table := range r.tables {
+		if table.path.Place == "" && table.path.Kind != "" && !slices.Contains(paths, table.path) {
+			paths = append(paths, table.path)
+		}
+	}
+
+	return paths
+}
+
+func (r *reader) lineOf(path Path) int {
+	for _, table := range r.tables {
+		if table.path == path {
+			return table.line
+		}
+	}
+
+	return 0
+}
+
+// checkPolicies refuses settings that contradict each other once they are inherited.
+func (r *reader) checkPolicies() {
+	if len(r.problems) > 0 {
+		return
+	}
+	reported := map[string]bool{}
+	for _, at := range r.tree.scopes() {
+		policy := r.tree.policyAt(at)
+		if got := contradiction(policy); got != "" && !reported[got+at.Service+at.Kind] {
+			reported[got+at.Service+at.Kind] = true
+			r.add(CodeContradiction, at.String(), r.lineOf(at), got, "", "")
+		}
+	}
+}
+
+func contradiction(p Policy) string {
+	switch {
+	case p.Once && p.Idempotent:
+		return "once and idempotent exclude each other"
+	case p.Once && p.Stream:
+		return "once and stream exclude each other"
+	case p.LimitMax > 0 && p.LimitMin > p.LimitMax:
+		return fmt.Sprintf("limitMin %d is above limitMax %d", p.LimitMin, p.LimitMax)
+	case p.BufferAnswer > p.BufferTotal:
+		return fmt.Sprintf("bufferAnswer %s is above bufferTotal %s", formatSize(p.BufferAnswer), formatSize(p.BufferTotal))
+	case p.QueueWait > p.Deadline:
+		return fmt.Sprintf("queueWait %s is above deadline %s", formatDuration(p.QueueWait), formatDuration(p.Deadline))
+	default:
+		return ""
+	}
+}
+
+// scopes returns every combination of place, service and kind that can have a policy of its own.
+func (t *Tree) scopes() []Path {
+	var scopes []Path
+	for _, place := range append([]string{""}, t.places...) {
+		scopes = append(scopes, Path{Place: place})
+		for _, service := range t.services {
+			scopes = append(scopes, Path{Place: place, Service: service})
+			for _, kind := range t.Kinds(service) {
+				scopes = append(scopes, Path{Place: place, Service: service, Kind: kind})
+			}
+		}
+	}
+
+	return scopes
+}
--- /dev/null
+++ b/pkg/tree/error.go
@@ -0,0 +1,125 @@
+package tree
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Code says what kind of fault a problem is.
+type Code string
+
+// Codes of problems.
+const (
+	CodeSyntax         Code = "syntax"
+	CodeUnknownKey     Code = "unknownKey"
+	CodeUnknownPlace   Code = "unknownPlace"
+	CodeUnknownService Code = "unknownService"
+	CodeUnknownKind    Code = "unknownKind"
+	CodeWrongLevel     Code = "wrongLevel"
+	CodeWrongType      Code = "wrongType"
+	CodeBadUnit        Code = "badUnit"
+	CodePastRail       Code = "pastRail"
+	CodeContradiction  Code = "contradiction"
+	CodeTooLarge       Code = "tooLarge"
+)
+
+// Problem is one fault in a tree's text.
+type Problem struct {
+	Code Code `json:"code"`
+	// Path is the dotted key of the fault, Line its line from one, zero for none.
+	Path string `json:"path,omitempty"`
+	Line int    `json:"line,omitempty"`
+	// Got is what was written there.
+	Got string `json:"got,omitempty"`
+	// Nearest is the known name that resembles the one that was written most.
+	Nearest string `json:"nearest,omitempty"`
+	// Allowed says what may stand there.
+	Allowed string `json:"allowed,omitempty"`
+}
+
+// Error returns the problem in one line.
+func (p Problem) Error() string {
+	var b strings.Builder
+	if p.Line > 0 {
+		fmt.Fprintf(&b, "line %d: ", p.Line)
+	}
+	if p.Path != "" {
+		fmt.Fprintf(&b, "%s: ", p.Path)
+	}
+	b.WriteString(p.Code.phrase())
+	if p.Got != "" {
+		fmt.Fprintf(&b, " %s", p.Got)
+	}
+	if p.Nearest != "" {
+		fmt.Fprintf(&b, ", did you mean %q?", p.Nearest)
+	}
+	if p.Allowed != "" {
+		fmt.Fprintf(&b, " (allowed: %s)", p.Allowed)
+	}
+
+	return b.String()
+}
+
+var phrases = map[Code]string{
+	CodeSyntax:         "not valid TOML:",
+	CodeUnknownKey:     "unknown key",
+	CodeUnknownPlace:   "unknown place",
+	CodeUnknownService: "unknown service",
+	CodeUnknownKind:    "unknown kind",
+	CodeWrongLevel:     "key does not belong at this level:",
+	CodeWrongType:      "wrong type:",
+	CodeBadUnit:        "bad value or unit:",
+	CodePastRail:       "past a hard rail:",
+	CodeContradiction:  "contradiction:",
+	CodeTooLarge:       "too large:",
+}
+
+func (c Code) phrase() string {
+	return phrases[c]
+}
+
+// Problems is every fault found in one text, in the order of its lines.
+type Problems []Problem
+
+// Error returns the problems, one on each line.
+func (p Problems) Error() string {
+	lines := make([]string, len(p))
+	for i, problem := range p {
+		lines[i] = problem.Error()
+	}
+
+	return strings.Join(lines, "\n")
+}
+
+// nearest returns the known name with the smallest edit distance, empty if none resembles the name.
+func nearest(name string, known []string) string {
+	best, bestDistance := "", max(2, len(name)/3)+1
+	for _, candidate := range known {
+		if d := distance(strings.ToLower(name), strings.ToLower(candidate)); d < bestDistance {
+			best, bestDistance = candidate, d
+		}
+	}
+
+	return best
+}
+
+// distance returns the Levenshtein distance in bytes.
+func distance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		diagonal := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			cost := diagonal
+			if a[i] != b[j] {
+				cost = 1 + min(diagonal, row[j], row[j+1])
+			}
+			diagonal, row[j+1] = row[j+1], cost
+		}
+	}
+
+	return row[len(b)]
+}
--- /dev/null
+++ b/pkg/tree/key.go
@@ -0,0 +1,218 @@
+package tree
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/pistachiotack/pistachiotack/pkg/call"
+)
+
+// Key describes one setting: its type, its hard rails and where it may stand.
+type Key struct {
+	Name string
+	Type Type
+	// Min and Max are the hard rails, in nanoseconds for durations and bytes for sizes; both zero for none.
+	Min, Max float64
+	Levels   Level
+	Doc      string
+
+	get func(*Policy) Value
+	set func(*Policy, Value)
+}
+
+// Names of keys that the parser treats in its own way.
+const (
+	keyPlaces   = "places"
+	keyServices = "services"
+	keyMethod   = "method"
+	keyPath     = "path"
+)
+
+const (
+	anyLevel  = LevelRoot | LevelPlace | LevelService | LevelKind
+	nodeLevel = LevelRoot | LevelPlace | LevelService
+	workLevel = LevelService | LevelKind
+)
+
+// Keys returns every setting there is.
+func Keys() []Key {
+	return keys
+}
+
+// FindKey returns the setting of that name.
+func FindKey(name string) (Key, bool) {
+	key, found := keysByName[name]
+
+	return key, found
+}
+
+// Rails says in words what the key allows.
+func (k Key) Rails() string {
+	if k.Min == 0 && k.Max == 0 {
+		return string(k.Type)
+	}
+	low, high := Value{typ: k.Type, number: k.Min}, Value{typ: k.Type, number: k.Max}
+
+	return fmt.Sprintf("%s to %s", low, high)
+}
+
+func (k Key) checkRails(v Value) *Problem {
+	if k.Min == 0 && k.Max == 0 {
+		return nil
+	}
+	if v.number < k.Min || v.number > k.Max {
+		return &Problem{Code: CodePastRail, Got: v.String(), Allowed: k.Rails()}
+	}
+
+	return nil
+}
+
+// nearRail is the share of a rail's distance within which a value is reported as near.
+const nearRail = 0.1
+
+// Near names the hard rail that the value comes close to, empty for none.
+func (k Key) Near(v Value) string {
+	span := k.Max - k.Min
+	switch {
+	case span <= 0:
+		return ""
+	case k.Max-v.number <= nearRail*span:
+		return fmt.Sprintf("near the most, %s", Value{typ: k.Type, number: k.Max})
+	case k.Min > 0 && v.number <= k.Min*(1+nearRail):
+		return fmt.Sprintf("near the least, %s", Value{typ: k.Type, number: k.Min})
+	default:
+		return ""
+	}
+}
+
+var keys = []Key{
+	{Name: keyPlaces, Type: TypeList, Levels: LevelRoot, Doc: "data centres that exist"},
+	{Name: keyServices, Type: TypeList, Levels: LevelRoot, Doc: "services that exist"},
+	{Name: keyMethod, Type: TypeText, Levels: LevelKind, Doc: "HTTP method of the kind, GET takes HEAD as well; any if not stated"},
+	{Name: keyPath, Type: TypeText, Levels: LevelKind, Doc: "path pattern of the kind: * is one segment, a last ** the rest"},
+
+	classKey("priority", workLevel, func(p *Policy) *call.Class { return &p.Priority }, "order of refusal under overload"),
+	boolKey("once", workLevel, func(p *Policy) *bool { return &p.Once }, "must never run twice"),
+	boolKey("idempotent", workLevel, func(p *Policy) *bool { return &p.Idempotent }, "may safely run again"),
+	boolKey("stream", workLevel, func(p *Policy) *bool { return &p.Stream }, "archive, streamed and resumed by Range"),
+
+	durationKey("deadline", 10*time.Millisecond, time.Hour, anyLevel, func(p *Policy) *time.Duration { return &p.Deadline }, "longest time of a root request"),
+	durationKey("progress", 20*time.Millisecond, time.Minute, anyLevel, func(p *Policy) *time.Duration { return &p.Progress }, "silence after which an attempt's state is asked for"),
+	intKey("attempts", 1, 64, anyLevel, func(p *Policy) *int { return &p.Attempts }, "attempts of one root request over all hops"),
+	intKey("depth", 1, 64, anyLevel, func(p *Policy) *int { return &p.Depth }, "deepest chain of hops"),
+	ratioKey("retryRatio", 0, 0.5, anyLevel, func(p *Policy) *float64 { return &p.RetryRatio }, "retries as a share of first attempts"),
+	durationKey("retryBackoff", time.Millisecond, 5*time.Second, anyLevel, func(p *Policy) *time.Duration { return &p.RetryBackoff }, "mean wait before the first retry"),
+
+	ratioKey("streamShare", 0.05, 0.8, nodeLevel, func(p *Policy) *float64 { return &p.StreamShare }, "share of slots that streams may hold"),
+	sizeKey("bufferAnswer", KiB, 2*MiB, anyLevel, func(p *Policy) *int64 { return &p.BufferAnswer }, "largest answer buffered whole"),
+	sizeKey("bufferTotal", 256*KiB, 12*MiB, nodeLevel, func(p *Policy) *int64 { return &p.BufferTotal }, "bytes a node holds in buffers"),
+
+	intKey("limitMin", 1, 1000, nodeLevel, func(p *Policy) *int { return &p.LimitMin }, "least concurrency limit"),
+	intKey("limitMax", 0, 10000, nodeLevel, func(p *Policy) *int { return &p.LimitMax }, "largest concurrency limit, 0 for the slots"),
+	intKey("queueLength", 1, 4096, nodeLevel, func(p *Policy) *int { return &p.QueueLength }, "requests that wait at one node"),
+	durationKey("queueWait", time.Millisecond, 10*time.Second, anyLevel, func(p *Policy) *time.Duration { return &p.QueueWait }, "longest wait in the queue"),
+	durationKey("retryAfter", 100*time.Millisecond, 5*time.Minute, anyLevel, func(p *Policy) *time.Duration { return &p.RetryAfter }, "mean time refused callers are told to wait"),
+
+	durationKey("slowStart", 100*time.Millisecond, 5*time.Minute, nodeLevel, func(p *Policy) *time.Duration { return &p.SlowStart }, "ramp of a target that became ready"),
+	ratioKey("spillAt", 0.3, 1, nodeLevel, func(p *Policy) *float64 { return &p.SpillAt }, "utilisation above which calls leave the data centre"),
+	intKey("ejectAfter", 2, 100, nodeLevel, func(p *Policy) *int { return &p.EjectAfter }, "consecutive faults that eject a target"),
+	durationKey("ejectFor", 100*time.Millisecond, 5*time.Minute, nodeLevel, func(p *Policy) *time.Duration { return &p.EjectFor }, "length of the first ejection"),
+	ratioKey("ejectShare", 0.01, 0.5, nodeLevel, func(p *Policy) *float64 { return &p.EjectShare }, "largest share of targets ejected at once"),
+	intKey("subset", 0, 1200, nodeLevel, func(p *Policy) *int { return &p.Subset }, "targets an entry keeps connections to, 0 for all"),
+
+	durationKey("drainDeadline", time.Second, 2*time.Hour, nodeLevel, func(p *Policy) *time.Duration { return &p.DrainDeadline }, "wait of a leaving node for requests in flight"),
+	listKey("drainTarget", nodeLevel, func(p *Policy) *[]string { return &p.DrainTarget }, "nodes or data centres that take no new work"),
+
+	ratioKey("guardGoodput", 0.5, 0.9999, LevelRoot, func(p *Policy) *float64 { return &p.GuardGoodput }, "goodput of important requests that a trial must keep"),
+	ratioKey("trialShare", 0.01, 0.5, LevelRoot, func(p *Policy) *float64 { return &p.TrialShare }, "share of nodes on which a proposal acts"),
+	durationKey("trialTime", time.Second, time.Minute, LevelRoot, func(p *Policy) *time.Duration { return &p.TrialTime }, "length of a trial"),
+	durationKey("answerMemory", time.Minute, 24*time.Hour, anyLevel, func(p *Policy) *time.Duration { return &p.AnswerMemory }, "how long answers of once-kinds are remembered"),
+}
+
+var (
+	keyNames   = namesOf(keys)
+	keysByName = indexOf(keys)
+)
+
+func namesOf(keys []Key) []string {
+	names := make([]string, len(keys))
+	for i, key := range keys {
+		names[i] = key.Name
+	}
+
+	return names
+}
+
+func indexOf(keys []Key) map[string]Key {
+	index := make(map[string]Key, len(keys))
+	for _, key := range keys {
+		index[key.Name] = key
+	}
+
+	return index
+}
+
+func durationKey(name string, low, high time.Duration, levels Level, field func(*Policy) *time.Duration, doc string) Key {
+	return numberKey(name, TypeDuration, float64(low), float64(high), levels, field, doc)
+}
+
+func sizeKey(name string, low, high int64, levels Level, field func(*Policy) *int64, doc string) Key {
+	return numberKey(name, TypeSize, float64(low), float64(high), levels, field, doc)
+}
+
+func intKey(name string, low, high int, levels Level, field func(*Policy) *int, doc string) Key {
+	return numberKey(name, TypeInt, float64(low), float64(high), levels, field, doc)
+}
+
+func ratioKey(name string, low, high float64, levels Level, field func(*Policy) *float64, doc string) Key {
+	return numberKey(name, TypeRatio, low, high, levels, field, doc)
+}
+
+func classKey(name string, levels Level, field func(*Policy) *call.Class, doc string) Key {
+	return numberKey(name, TypeClass, 0, 0, levels, field, doc)
+}
+
+type number interface {
+	~int | ~int64 | ~uint8 | ~float64
+}
+
+func numberKey[N number](name string, typ Type, low, high float64, levels Level, field func(*Policy) *N, doc string) Key {
+	return Key{
+		Name: name, Type: typ, Min: low, Max: high, Levels: levels, Doc: doc,
+		get: func(p *Policy) Value { return Value{typ: typ, number: float64(*field(p))} },
+		set: func(p *Policy, v Value) { *field(p) = N(v.number) },
+	}
+}
+
+func boolKey(name string, levels Level, field func(*Policy) *bool, doc string) Key {
+	return Key{
+		Name: name, Type: TypeBool, Levels: levels, Doc: doc,
+		get: func(p *Policy) Value {
+			if *field(p) {
+				return Value{typ: TypeBool, number: 1}
+			}
+
+			return Value{typ: TypeBool}
+		},
+		set: func(p *Policy, v Value) { *field(p) = v.number != 0 },
+	}
+}
+
+func listKey(name string, levels Level, field func(*Policy) *[]string, doc string) Key {
+	return Key{
+		Name: name, Type: TypeList, Levels: levels, Doc: doc,
+		get: func(p *Policy) Value { return Value{typ: TypeList, list: *field(p)} },
+		set: func(p *Policy, v Value) { *field(p) = v.list },
+	}
+}
+
+// levelNames joins names for the "allowed" part of a problem, shortened when there are many.
+func levelNames(names []string) string {
+	const most = 12
+	if len(names) > most {
+		return strings.Join(names[:most], ", ") + ", ..."
+	}
+
+	return strings.Join(names, ", ")
+}
--- /dev/null
+++ b/pkg/tree/parse.go
@@ -0,0 +1,246 @@
+package tree
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// Hard rails on a whole tree.
+const (
+	maxText            = 64 * 1024
+	maxKindsPerService = 64
+)
+
+// Statement is one setting that a tree states.
+type Statement struct {
+	Path  Path   `json:"path"`
+	Key   string `json:"key"`
+	Value Value  `json:"value"`
+	// Line is the line of the text, from one.
+	Line int `json:"line"`
+
+	offset, length int
+}
+
+// Dotted returns the dotted key of the statement.
+func (s Statement) Dotted() string {
+	return s.Path.Dotted(s.Key)
+}
+
+// Tree is one whole, checked and immutable settings tree.
+type Tree struct {
+	text       string
+	places     []string
+	services   []string
+	statements []Statement
+	byDotted   map[string]int
+}
+
+// Text returns the TOML text of the tree.
+func (t *Tree) Text() string {
+	return t.text
+}
+
+// Places returns the data centres that the tree declares.
+func (t *Tree) Places() []string {
+	return slices.Clone(t.places)
+}
+
+// Services returns the services that the tree declares.
+func (t *Tree) Services() []string {
+	return slices.Clone(t.services)
+}
+
+// Statements returns what the tree states, in the order of its lines.
+func (t *Tree) Statements() []Statement {
+	return slices.Clone(t.statements)
+}
+
+// Stated returns the statement of a dotted key.
+func (t *Tree) Stated(dotted string) (Statement, bool) {
+	i, found := t.byDotted[dotted]
+	if !found {
+		return Statement{}, false
+	}
+
+	return t.statements[i], true
+}
+
+// Kinds returns the kinds of a service in the order of their lines.
+func (t *Tree) Kinds(service string) []string {
+	var kinds []string
+	for _, s := range t.statements {
+		if s.Path.Place == "" && s.Path.Service == service && s.Key == keyPath {
+			kinds = append(kinds, s.Path.Kind)
+		}
+	}
+
+	return kinds
+}
+
+// Parse reads a tree strictly; the error is Problems with every fault found.
+func Parse(text string) (*Tree, error) {
+	if len(text) > maxText {
+		return nil, Problems{{Code: CodeTooLarge, Got: fmt.Sprintf("%d bytes", len(text)), Allowed: fmt.Sprintf("up to %d bytes", maxText)}}
+	}
+	if problem := checkSyntax(text); problem != nil {
+		return nil, Problems{*problem}
+	}
+	r := &reader{tree: &Tree{text: text, byDotted: map[string]int{}}}
+	r.read([]byte(text))
+	r.declare()
+	r.checkNames()
+	r.checkKinds()
+	r.checkPolicies()
+	if len(r.problems) > 0 {
+		slices.SortStableFunc(r.problems, func(a, b Problem) int { return a.Line - b.Line })
+
+		return nil, r.problems
+	}
+
+	return r.tree, nil
+}
+
+// checkSyntax lets the library refuse what is no valid TOML, duplicate keys and tables included.
+func checkSyntax(text string) *Problem {
+	var ignored map[string]any
+	err := toml.Unmarshal([]byte(text), &ignored)
+	if err == nil {
+		return nil
+	}
+	problem := &Problem{Code: CodeSyntax, Got: err.Error()}
+	var decode *toml.DecodeError
+	if errors.As(err, &decode) {
+		problem.Line, _ = decode.Position()
+	}
+
+	return problem
+}
+
+// reader collects statements and problems from one text.
+type reader struct {
+	tree     *Tree
+	problems Problems
+	tables   []table
+}
+
+// table is a level that the text names.
+type table struct {
+	path Path
+	line int
+}
+
+func (r *reader) add(code Code, path string, line int, got, near, allowed string) {
+	r.problems = append(r.problems, Problem{Code: code, Path: path, Line: line, Got: got, Nearest: near, Allowed: allowed})
+}
+
+func (r *reader) read(text []byte) {
+	var parser unstable.Parser
+	parser.Reset(text)
+	var prefix []string
+	for parser.NextExpression() {
+		expression := parser.Expression()
+		parts, line := keyParts(&parser, expression)
+		switch expression.Kind {
+		case unstable.Table:
+			prefix = parts
+			r.readTable(parts, line)
+		case unstable.KeyValue:
+			r.readStatement(append(slices.Clone(prefix), parts...), line, expression)
+		default:
+			prefix = parts
+			r.add(CodeSyntax, strings.Join(parts, "."), line, "a list of tables", "", "[table]")
+		}
+	}
+}
+
+func keyParts(parser *unstable.Parser, expression *unstable.Node) (parts []string, line int) {
+	names := expression.Key()
+	for names.Next() {
+		if line == 0 {
+			line = parser.Shape(names.Node().Raw).Start.Line
+		}
+		parts = append(parts, string(names.Node().Data))
+	}
+
+	return parts, line
+}
+
+func (r *reader) readTable(parts []string, line int) {
+	path, rest := splitPath(parts)
+	if len(rest) > 0 {
+		r.add(CodeUnknownKey, strings.Join(parts, "."), line, fmt.Sprintf("%q", rest[0]),
+			nearest(rest[0], []string{levelPlace, levelService, levelKind}), "place.NAME, service.NAME, service.NAME.kind.NAME, place.NAME.service.NAME")
+
+		return
+	}
+	r.tables = append(r.tables, table{path: path, line: line})
+}
+
+func (r *reader) readStatement(parts []string, line int, expression *unstable.Node) {
+	dotted := strings.Join(parts, ".")
+	path, rest := splitPath(parts)
+	if len(rest) != 1 {
+		r.add(CodeUnknownKey, dotted, line, "", nearest(parts[0], []string{levelPlace, levelService}), "place.NAME, service.NAME, service.NAME.kind.NAME, place.NAME.service.NAME")
+
+		return
+	}
+	key, known := FindKey(rest[0])
+	if !known {
+		r.add(CodeUnknownKey, dotted, line, fmt.Sprintf("%q", rest[0]), nearest(rest[0], keyNames), "")
+
+		return
+	}
+	r.tables = append(r.tables, table{path: path, line: line})
+	if !key.fits(path) {
+		r.add(CodeWrongLevel, dotted, line, fmt.Sprintf("%q", key.Name), "", key.Levels.String())
+
+		return
+	}
+	value, problem := key.parse(expression.Value())
+	if problem != nil {
+		problem.Path, problem.Line = dotted, line
+		r.problems = append(r.problems, *problem)
+
+		return
+	}
+	r.tree.byDotted[path.Dotted(key.Name)] = len(r.tree.statements)
+	r.tree.statements = append(r.tree.statements, Statement{
+		Path: path, Key: key.Name, Value: value, Line: line,
+		offset: int(expression.Raw.Offset), length: int(expression.Raw.Length),
+	})
+}
+
+// fits reports whether the key may be stated at the path; what a kind matches is the same at every place.
+func (k Key) fits(path Path) bool {
+	if (k.Name == keyMethod || k.Name == keyPath) && path.Place != "" {
+		return false
+	}
+
+	return k.Levels&path.level() != 0
+}
+
+// splitPath takes the levels off the front of a dotted key.
+func splitPath(parts []string) (Path, []string) {
+	var path Path
+	for len(parts) >= 2 {
+		switch {
+		case parts[0] == levelPlace && path == Path{}:
+			path.Place = parts[1]
+		case parts[0] == levelService && path.Service == "":
+			path.Service = parts[1]
+		case parts[0] == levelKind && path.Service != "" && path.Kind == "":
+			path.Kind = parts[1]
+		default:
+			return path, parts
+		}
+		parts = parts[2:]
+	}
+
+	return path, parts
+}
--- /dev/null
+++ b/pkg/tree/path.go
@@ -0,0 +1,109 @@
+package tree
+
+import "strings"
+
+// Path names one level of the tree; the zero value is the root.
+type Path struct {
+	Place   string `json:"place,omitempty"`
+	Service string `json:"service,omitempty"`
+	Kind    string `json:"kind,omitempty"`
+}
+
+// String returns the path as a dotted key, "root" for the root.
+func (p Path) String() string {
+	if keys := p.keys(); len(keys) > 0 {
+		return strings.Join(keys, ".")
+	}
+
+	return "root"
+}
+
+// Dotted returns the dotted key of a setting at the path, as operators type it.
+func (p Path) Dotted(key string) string {
+	return strings.Join(append(p.keys(), key), ".")
+}
+
+// Covers reports whether a setting at the path can take effect at that place, service and kind.
+func (p Path) Covers(place, service, kind string) bool {
+	return covers(p.Place, place) && covers(p.Service, service) && covers(p.Kind, kind)
+}
+
+func covers(stated, asked string) bool {
+	return stated == "" || stated == asked
+}
+
+func (p Path) keys() []string {
+	var keys []string
+	if p.Place != "" {
+		keys = append(keys, levelPlace, p.Place)
+	}
+	if p.Service != "" {
+		keys = append(keys, levelService, p.Service)
+	}
+	if p.Kind != "" {
+		keys = append(keys, levelKind, p.Kind)
+	}
+
+	return keys
+}
+
+// weight orders paths by how specific they are, the later one wins.
+func (p Path) weight() int {
+	weight := 0
+	if p.Place != "" {
+		weight++
+	}
+	if p.Service != "" {
+		weight += 2
+	}
+	if p.Kind != "" {
+		weight += 2
+	}
+
+	return weight
+}
+
+func (p Path) level() Level {
+	switch {
+	case p.Kind != "":
+		return LevelKind
+	case p.Service != "":
+		return LevelService
+	case p.Place != "":
+		return LevelPlace
+	default:
+		return LevelRoot
+	}
+}
+
+// Level is a set of levels of the tree.
+type Level uint8
+
+// Levels from the root down.
+const (
+	LevelRoot Level = 1 << iota
+	LevelPlace
+	LevelService
+	LevelKind
+)
+
+const (
+	levelPlace   = "place"
+	levelService = "service"
+	levelKind    = "kind"
+)
+
+// String returns the names of the levels in the set.
+func (l Level) String() string {
+	names := make([]string, 0, 4)
+	for _, known := range []struct {
+		level Level
+		name  string
+	}{{LevelRoot, "root"}, {LevelPlace, levelPlace}, {LevelService, levelService}, {LevelKind, levelKind}} {
+		if l&known.level != 0 {
+			names = append(names, known.name)
+		}
+	}
+
+	return strings.Join(names, ", ")
+}
--- a/pkg/tree/snap.go
+++ b/pkg/tree/snap.go
@@ -1,13 +1,64 @@
 package tree
 
+import "slices"
+
 // Snapshot is one whole, immutable settings tree; a request keeps the one it began with.
 type Snapshot struct {
 	revision uint64
+	trial    string
+	tree     *Tree
+	root     Policy
+	scopes   map[scope]*compiled
+}
+
+// scope selects the policies of a service at a place, both empty for the root.
+type scope struct {
+	place, service string
+}
+
+// compiled is what a service at a place needs to classify a request.
+type compiled struct {
+	base  Policy
+	kinds []kind
+}
+
+type kind struct {
+	matcher matcher
+	policy  Policy
 }
 
 // Empty returns the snapshot that serves without a tree, at revision zero.
 func Empty() *Snapshot {
-	return &Snapshot{}
+	return NewSnapshot(0, &Tree{})
+}
+
+// NewSnapshot compiles the tree for look-ups under the number of its accepted revision.
+func NewSnapshot(revision uint64, tree *Tree) *Snapshot {
+	s := &Snapshot{revision: revision, tree: tree, root: tree.policyAt(Path{}), scopes: map[scope]*compiled{}}
+	for _, place := range append([]string{""}, tree.places...) {
+		if place != "" && !tree.statesPlace(place) {
+			continue
+		}
+		s.scopes[scope{place, ""}] = &compiled{base: tree.policyAt(Path{Place: place})}
+		for _, service := range tree.services {
+			s.scopes[scope{place, service}] = tree.compile(place, service)
+		}
+	}
+
+	return s
+}
+
+// WithTrial returns a copy that is marked as the proposal of that edit.
+func (s *Snapshot) WithTrial(edit string) *Snapshot {
+	marked := *s
+	marked.trial = edit
+
+	return &marked
+}
+
+// Trial returns the edit whose proposal the snapshot is, empty for an accepted revision.
+func (s *Snapshot) Trial() string {
+	return s.trial
 }
 
 // Revision returns the number of the accepted revision that the snapshot came from.
@@ -15,10 +66,63 @@
 	return s.revision
 }
 
+// Tree returns the tree that the snapshot was compiled from.
+func (s *Snapshot) Tree() *Tree {
+	return s.tree
+}
+
+// Known reports whether the tree declares the service; a tree that declares none knows all.
+func (s *Snapshot) Known(service string) bool {
+	return len(s.tree.services) == 0 || slices.Contains(s.tree.services, service)
+}
+
 // Policy returns the effective policy for a request at that place; an unknown service or kind gets what it inherits.
-func (s *Snapshot) Policy(_, service, _, _ string) Policy {
-	policy := Default()
+func (s *Snapshot) Policy(place, service, method, path string) Policy {
+	found := s.find(place, service)
+	if found == nil {
+		policy := s.root
+		policy.Service = service
+
+		return policy
+	}
+	path = cleanPath(path)
+	for i := range found.kinds {
+		if found.kinds[i].matcher.matches(method, path) {
+			return found.kinds[i].policy
+		}
+	}
+	policy := found.base
 	policy.Service = service
 
 	return policy
 }
+
+// find falls back from a place or a service that states nothing of its own to what it inherits.
+func (s *Snapshot) find(place, service string) *compiled {
+	if found := s.scopes[scope{place, service}]; found != nil {
+		return found
+	}
+	if found := s.scopes[scope{"", service}]; found != nil {
+		return found
+	}
+
+	return s.scopes[scope{place, ""}]
+}
+
+func (t *Tree) statesPlace(place string) bool {
+	return slices.ContainsFunc(t.statements, func(s Statement) bool { return s.Path.Place == place })
+}
+
+func (t *Tree) compile(place, service string) *compiled {
+	c := &compiled{base: t.policyAt(Path{Place: place, Service: service})}
+	for _, name := range t.Kinds(service) {
+		at := Path{Service: service, Kind: name}
+		method, _ := t.Stated(at.Dotted(keyMethod))
+		pattern, _ := t.Stated(at.Dotted(keyPath))
+		at.Place = place
+		c.kinds = append(c.kinds, kind{matcher: newMatcher(method.Value.text, pattern.Value.text), policy: t.policyAt(at)})
+	}
+	slices.SortStableFunc(c.kinds, func(a, b kind) int { return a.matcher.compare(b.matcher) })
+
+	return c
+}
