Diff, merge, set and plan settings trees

Cause: two operators may edit the same tree at once, and an edit's effect was not visible before it acted. Change: edits are written into the text with comments kept, three-way merges name overlapping settings with both sides, a plan counts the targets whose effective values change and the rails that are near.

--- a/pkg/tree/check.go
+++ b/pkg/tree/check.go
@@ -37,6 +37,10 @@
 	return name != "" && !strings.ContainsFunc(name, outside)
 }
 
+func validKind(name string) bool {
+	return validName(strings.ToLower(name))
+}
+
 // checkNames refuses levels whose place, service or kind is not declared.
 func (r *reader) checkNames() {
 	reported := map[Path]bool{}
@@ -70,6 +74,9 @@
 	kinds := map[string]int{}
 	for _, path := range r.kindPaths() {
 		line := r.lineOf(path)
+		if !validKind(path.Kind) {
+			r.add(CodeContradiction, path.String(), line, fmt.Sprintf("%q", path.Kind), "", "a name of letters, digits and hyphens")
+		}
 		pattern, found := r.tree.Stated(path.Dotted(keyPath))
 		if !found {
 			r.add(CodeContradiction, path.String(), line, "a kind without path", "", `path = "/readings/*"`)
--- /dev/null
+++ b/pkg/tree/diff.go
@@ -0,0 +1,120 @@
+package tree
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Change is one setting that differs between two trees.
+type Change struct {
+	Path Path   `json:"path"`
+	Key  string `json:"key"`
+	// Before and After are the stated values, nil where the tree does not state it.
+	Before *Value `json:"before,omitempty"`
+	After  *Value `json:"after,omitempty"`
+}
+
+// Dotted returns the dotted key of the change.
+func (c Change) Dotted() string {
+	return c.Path.Dotted(c.Key)
+}
+
+// String returns the change in one line.
+func (c Change) String() string {
+	return fmt.Sprintf("%s: %s -> %s", c.Dotted(), stated(c.Before), stated(c.After))
+}
+
+func stated(v *Value) string {
+	if v == nil {
+		return "(inherited)"
+	}
+
+	return v.String()
+}
+
+// Diff returns what has to change to get from one tree to the other, in the order of dotted keys.
+func Diff(from, to *Tree) []Change {
+	var changes []Change
+	for _, s := range to.statements {
+		before, found := from.Stated(s.Dotted())
+		after := s.Value
+		switch {
+		case !found:
+			changes = append(changes, Change{Path: s.Path, Key: s.Key, After: &after})
+		case !before.Value.Equal(s.Value):
+			changes = append(changes, Change{Path: s.Path, Key: s.Key, Before: &before.Value, After: &after})
+		}
+	}
+	for _, s := range from.statements {
+		if _, found := to.Stated(s.Dotted()); !found {
+			before := s.Value
+			changes = append(changes, Change{Path: s.Path, Key: s.Key, Before: &before})
+		}
+	}
+	slices.SortFunc(changes, func(a, b Change) int { return strings.Compare(a.Dotted(), b.Dotted()) })
+
+	return changes
+}
+
+// Conflict is one setting that two edits of the same base changed to different values.
+type Conflict struct {
+	Dotted string `json:"dotted"`
+	// Base, Head and Edit are the values before, of the revision accepted meanwhile, and of the edit; nil for not stated.
+	Base *Value `json:"base,omitempty"`
+	Head *Value `json:"head,omitempty"`
+	Edit *Value `json:"edit,omitempty"`
+}
+
+// Error returns the conflict in one line that shows both sides.
+func (c Conflict) Error() string {
+	return fmt.Sprintf("%s: was %s, accepted meanwhile %s, this edit %s", c.Dotted, stated(c.Base), stated(c.Head), stated(c.Edit))
+}
+
+// Conflicts is the error of a merge whose edits overlap.
+type Conflicts []Conflict
+
+// Error returns the conflicts, one on each line.
+func (c Conflicts) Error() string {
+	lines := make([]string, len(c))
+	for i, conflict := range c {
+		lines[i] = conflict.Error()
+	}
+
+	return strings.Join(lines, "\n")
+}
+
+// Merge brings an edit of base onto head; the error is Conflicts, or Problems if the two make no valid tree together.
+func Merge(base, head, edit *Tree) (*Tree, error) {
+	if base.text == head.text {
+		return edit, nil
+	}
+	meanwhile := map[string]Change{}
+	for _, change := range Diff(base, head) {
+		meanwhile[change.Dotted()] = change
+	}
+	var conflicts Conflicts
+	var wanted []Change
+	for _, change := range Diff(base, edit) {
+		other, both := meanwhile[change.Dotted()]
+		switch {
+		case !both:
+			wanted = append(wanted, change)
+		case !sameValue(other.After, change.After):
+			conflicts = append(conflicts, Conflict{Dotted: change.Dotted(), Base: change.Before, Head: other.After, Edit: change.After})
+		}
+	}
+	if len(conflicts) > 0 {
+		return nil, conflicts
+	}
+
+	return head.Apply(wanted)
+}
+
+func sameValue(a, b *Value) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+
+	return a.Equal(*b)
+}
--- /dev/null
+++ b/pkg/tree/edit.go
@@ -0,0 +1,228 @@
+package tree
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// Apply returns the tree with the changes written into its text, comments kept; the error is Problems.
+func (t *Tree) Apply(changes []Change) (*Tree, error) {
+	e := editor{tree: t}
+	for _, change := range changes {
+		e.apply(change)
+	}
+	e.dropEmptyHeaders()
+
+	return Parse(e.text())
+}
+
+// Set returns the tree with one setting stated anew, or no longer if the literal is empty; the error is Problems.
+func (t *Tree) Set(dotted, literal string) (*Tree, error) {
+	path, rest := splitPath(strings.Split(dotted, "."))
+	if len(rest) != 1 {
+		return nil, Problems{{Code: CodeUnknownKey, Path: dotted, Allowed: "[place.NAME.][service.NAME.][kind.NAME.]KEY"}}
+	}
+	key, known := FindKey(rest[0])
+	if !known {
+		return nil, Problems{{Code: CodeUnknownKey, Path: dotted, Got: fmt.Sprintf("%q", rest[0]), Nearest: nearest(rest[0], keyNames)}}
+	}
+	change := Change{Path: path, Key: key.Name}
+	if before, found := t.Stated(dotted); found {
+		change.Before = &before.Value
+	}
+	if literal == "" {
+		if change.Before == nil {
+			return nil, Problems{{Code: CodeContradiction, Path: dotted, Got: "not stated, nothing to remove"}}
+		}
+
+		return t.Apply([]Change{change})
+	}
+	value, problem := key.parseLiteral(literal)
+	if problem != nil {
+		problem.Path = dotted
+
+		return nil, Problems{*problem}
+	}
+	change.After = &value
+
+	return t.Apply([]Change{change})
+}
+
+// parseLiteral takes a TOML value, or a text whose quotes the shell has eaten.
+func (k Key) parseLiteral(literal string) (Value, *Problem) {
+	quoted := k.Type != TypeInt && k.Type != TypeRatio && k.Type != TypeBool && k.Type != TypeList
+	if quoted && !strings.HasPrefix(literal, `"`) {
+		literal = fmt.Sprintf("%q", literal)
+	}
+	var parser unstable.Parser
+	parser.Reset([]byte("value = " + literal))
+	if !parser.NextExpression() {
+		return Value{}, &Problem{Code: CodeWrongType, Got: literal, Allowed: string(k.Type)}
+	}
+
+	return k.parse(parser.Expression().Value())
+}
+
+// splice replaces a span of the text.
+type splice struct {
+	span span
+	text string
+}
+
+// editor collects splices against one text.
+type editor struct {
+	tree    *Tree
+	splices []splice
+	deleted map[string]bool
+	added   []Path
+	opened  []newTable
+}
+
+// newTable is a table that the text does not have yet.
+type newTable struct {
+	path  Path
+	lines string
+}
+
+func (e *editor) apply(change Change) {
+	old, found := e.tree.Stated(change.Dotted())
+	switch {
+	case found && change.After == nil:
+		e.remove(old)
+	case found:
+		written := e.written(old)
+		e.splices = append(e.splices, splice{old.span, written + "= " + change.After.String()})
+	case change.After != nil:
+		e.add(change)
+	}
+}
+
+// written returns the key of a statement up to the equals sign, as the text has it.
+func (e *editor) written(s Statement) string {
+	key, _, _ := strings.Cut(e.tree.text[s.span.start:s.span.end], "=")
+
+	return key
+}
+
+func (e *editor) remove(s Statement) {
+	if e.deleted == nil {
+		e.deleted = map[string]bool{}
+	}
+	e.deleted[s.Dotted()] = true
+	e.splices = append(e.splices, splice{span{e.lineStart(s.span.start), e.lineEnd(s.span.end)}, ""})
+}
+
+// add states a setting next to one of the same path, else under the path's header, else in a new table at the end.
+func (e *editor) add(change Change) {
+	e.added = append(e.added, change.Path)
+	line := change.Key + " = " + change.After.String() + "\n"
+	if sibling, found := e.sibling(change.Path); found {
+		written := strings.TrimSpace(e.written(sibling))
+		prefix := written[:len(written)-len(sibling.Key)]
+		e.insert(e.lineEnd(sibling.span.end), prefix+line)
+
+		return
+	}
+	if header, found := e.header(change.Path); found {
+		e.insert(e.lineEnd(header.span.end), line)
+
+		return
+	}
+	if change.Path == (Path{}) {
+		e.insert(0, line)
+
+		return
+	}
+	e.open(change.Path, line)
+}
+
+// open puts the line into a new table at the end of the text.
+func (e *editor) open(path Path, line string) {
+	i := slices.IndexFunc(e.opened, func(t newTable) bool { return t.path == path })
+	if i < 0 {
+		i = len(e.opened)
+		e.opened = append(e.opened, newTable{path: path})
+	}
+	e.opened[i].lines += line
+}
+
+func (e *editor) insert(at int, text string) {
+	if at == len(e.tree.text) && at > 0 && e.tree.text[at-1] != '\n' {
+		text = "\n" + text
+	}
+	e.splices = append(e.splices, splice{span{at, at}, text})
+}
+
+// sibling returns the last statement of the path whose key is written plainly.
+func (e *editor) sibling(path Path) (Statement, bool) {
+	for _, s := range slices.Backward(e.tree.statements) {
+		if s.Path == path && strings.HasSuffix(strings.TrimSpace(e.written(s)), s.Key) {
+			return s, true
+		}
+	}
+
+	return Statement{}, false
+}
+
+func (e *editor) header(path Path) (header, bool) {
+	for _, h := range e.tree.headers {
+		if h.path == path {
+			return h, true
+		}
+	}
+
+	return header{}, false
+}
+
+// dropEmptyHeaders removes the header of each table that has lost its last statement.
+func (e *editor) dropEmptyHeaders() {
+	left, lost := map[int]int{}, map[int]bool{}
+	for _, s := range e.tree.statements {
+		if e.deleted[s.Dotted()] {
+			lost[s.header] = true
+		} else {
+			left[s.header]++
+		}
+	}
+	for i, h := range e.tree.headers {
+		if lost[i] && left[i] == 0 && !slices.Contains(e.added, h.path) {
+			e.splices = append(e.splices, splice{span{e.lineStart(h.span.start), e.lineEnd(h.span.end)}, ""})
+		}
+	}
+}
+
+func (e *editor) lineStart(at int) int {
+	return strings.LastIndexByte(e.tree.text[:at], '\n') + 1
+}
+
+// lineEnd returns the offset behind the newline that ends the line.
+func (e *editor) lineEnd(at int) int {
+	if i := strings.IndexByte(e.tree.text[at:], '\n'); i >= 0 {
+		return at + i + 1
+	}
+
+	return len(e.tree.text)
+}
+
+func (e *editor) text() string {
+	slices.SortStableFunc(e.splices, func(a, b splice) int { return a.span.start - b.span.start })
+	var b strings.Builder
+	done := 0
+	for _, s := range e.splices {
+		b.WriteString(e.tree.text[done:s.span.start])
+		b.WriteString(s.text)
+		done = max(done, s.span.end)
+	}
+	b.WriteString(e.tree.text[done:])
+	if len(e.opened) > 0 && b.Len() > 0 && !strings.HasSuffix(b.String(), "\n") {
+		b.WriteByte('\n')
+	}
+	for _, table := range e.opened {
+		fmt.Fprintf(&b, "\n[%s]\n%s", table.path, table.lines)
+	}
+
+	return b.String()
+}
--- /dev/null
+++ b/pkg/tree/edit_test.go
@@ -0,0 +1,148 @@
+package tree_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/pistachiotack/pistachiotack/pkg/tree"
+)
+
+func parse(t require.TestingT, text string) *tree.Tree {
+	parsed, err := tree.Parse(text)
+	require.NoError(t, err)
+
+	return parsed
+}
+
+func TestSetKeepsTheRest(t *testing.T) {
+	text := base + "attempts = 4 # few\n\n# the alarms\n[service.alarm]\ndeadline = \"1s\" # short\n"
+	for _, tt := range []struct{ dotted, literal, want string }{
+		{"attempts", "5", strings.Replace(text, "4 #", "5 #", 1)},
+		{"service.alarm.deadline", "1500ms", strings.Replace(text, `"1s"`, `"1.5s"`, 1)},
+		{"service.alarm.deadline", "", strings.Replace(text, "[service.alarm]\ndeadline = \"1s\" # short\n", "", 1)},
+		{"service.alarm.priority", "vital", text + "priority = \"vital\"\n"},
+		{"depth", "9", strings.Replace(text, "few\n", "few\ndepth = 9\n", 1)},
+		{"place.hal-a.drainTarget", `["hal-a"]`, text + "\n[place.hal-a]\ndrainTarget = [\"hal-a\"]\n"},
+	} {
+		edited, err := parse(t, text).Set(tt.dotted, tt.literal)
+		require.NoError(t, err, tt.dotted)
+		require.Equal(t, tt.want, edited.Text(), tt.dotted)
+	}
+	for dotted, literal := range map[string]string{"atempts": "5", "attempts": "many", "service.alarm": "3", "place.hal-z.attempts": "2", "depth": ""} {
+		_, err := parse(t, text).Set(dotted, literal)
+		var problems tree.Problems
+		require.True(t, errors.As(err, &problems), "%s: %v", dotted, err)
+	}
+}
+
+func TestMergeShowsBothSides(t *testing.T) {
+	start := parse(t, base+"attempts = 4\n")
+	head, err := start.Set("attempts", "5")
+	require.NoError(t, err)
+	overlap, err := start.Set("attempts", "6")
+	require.NoError(t, err)
+	_, err = tree.Merge(start, head, overlap)
+	var conflicts tree.Conflicts
+	require.True(t, errors.As(err, &conflicts))
+	require.Equal(t, "attempts: was 4, accepted meanwhile 5, this edit 6", conflicts.Error())
+
+	disjoint, err := start.Set("service.alarm.priority", "vital")
+	require.NoError(t, err)
+	merged, err := tree.Merge(start, head, disjoint)
+	require.NoError(t, err)
+	require.Len(t, tree.Diff(start, merged), 2)
+
+	gone, err := start.Set("services", `["logboek"]`)
+	require.NoError(t, err)
+	_, err = tree.Merge(start, gone, disjoint)
+	require.ErrorContains(t, err, "unknown service")
+}
+
+func TestPlanCountsTargets(t *testing.T) {
+	from := parse(t, base+"[place.hal-a]\nattempts = 3\n")
+	to, err := from.Set("attempts", "60")
+	require.NoError(t, err)
+	targets := []tree.Target{{Place: "hal-a", Service: "alarm"}, {Place: "hal-b", Service: "alarm"}, {Place: "hal-b", Service: "logboek"}}
+	plan := tree.NewPlan(from, to, targets)
+	require.Equal(t, 2, plan.Touched)
+	require.Equal(t, 3, plan.Total)
+	require.Len(t, plan.Steps, 1)
+	require.Equal(t, 2, plan.Steps[0].Targets)
+	require.Equal(t, []tree.Near{{Dotted: "attempts", Value: *plan.Steps[0].After, Rail: "near the most, 64"}}, plan.Near)
+}
+
+// edits draws a chain of valid edits and returns the tree after them.
+func edits(rt *rapid.T, from *tree.Tree, label string) *tree.Tree {
+	literals := map[string][]string{
+		"attempts": {"2", "7", ""}, "deadline": {"1s", "250ms", ""}, "retryRatio": {"0.2", ""}, "spillAt": {"0.5", "0.9", ""},
+	}
+	places := []string{"", "place.hal-a.", "place.hal-b."}
+	services := []string{"", "service.alarm.", "service.logboek."}
+	for i := range rapid.IntRange(0, 6).Draw(rt, label) {
+		key := rapid.SampledFrom([]string{"attempts", "deadline", "retryRatio", "spillAt"}).Draw(rt, fmt.Sprint(label, "key", i))
+		dotted := rapid.SampledFrom(places).Draw(rt, "place") + rapid.SampledFrom(services).Draw(rt, "service") + key
+		if edited, err := from.Set(dotted, rapid.SampledFrom(literals[key]).Draw(rt, "value")); err == nil {
+			from = edited
+		}
+	}
+
+	return from
+}
+
+// TestMergeProperty: a merge holds both edits, whichever comes first, or names the settings on which they clash.
+func TestMergeProperty(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		start := edits(rt, parse(rt, base), "start")
+		left, right := edits(rt, start, "left"), edits(rt, start, "right")
+		one, errOne := tree.Merge(start, left, right)
+		two, errTwo := tree.Merge(start, right, left)
+		require.Equal(rt, errOne == nil, errTwo == nil)
+		if errOne != nil {
+			var conflicts tree.Conflicts
+			require.True(rt, errors.As(errOne, &conflicts), "%v", errOne)
+
+			return
+		}
+		require.Empty(rt, tree.Diff(one, two))
+		for _, side := range []*tree.Tree{left, right} {
+			for _, change := range tree.Diff(start, side) {
+				s, found := one.Stated(change.Dotted())
+				require.Equal(rt, change.After != nil, found)
+				require.True(rt, !found || s.Value.Equal(*change.After))
+			}
+		}
+		require.Len(rt, tree.Diff(start, one), unionSize(tree.Diff(start, left), tree.Diff(start, right)))
+	})
+}
+
+func unionSize(a, b []tree.Change) int {
+	dotted := map[string]bool{}
+	for _, change := range append(a, b...) {
+		dotted[change.Dotted()] = true
+	}
+
+	return len(dotted)
+}
+
+// TestInheritanceProperty: each effective value is that of the most specific level which states it.
+func TestInheritanceProperty(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		drawn := edits(rt, edits(rt, parse(rt, base), "first"), "second")
+		snapshot := tree.NewSnapshot(1, drawn)
+		place := rapid.SampledFrom([]string{"hal-a", "hal-b", "elsewhere"}).Draw(rt, "at")
+		service := rapid.SampledFrom([]string{"alarm", "logboek", "other"}).Draw(rt, "of")
+		want := 6
+		for _, dotted := range []string{"attempts", "place." + place + ".attempts", "service." + service + ".attempts", "place." + place + ".service." + service + ".attempts"} {
+			if s, found := drawn.Stated(dotted); found {
+				_, err := fmt.Sscan(s.Value.String(), &want)
+				require.NoError(rt, err)
+			}
+		}
+		require.Equal(rt, want, snapshot.Policy(place, service, "GET", "/").Attempts)
+	})
+}
--- a/pkg/tree/parse.go
+++ b/pkg/tree/parse.go
@@ -24,7 +24,20 @@
 	// Line is the line of the text, from one.
 	Line int `json:"line"`
 
-	offset, length int
+	// span is where the text states it, header the table it stands in, -1 for the top.
+	span   span
+	header int
+}
+
+// span is a range of bytes of the text.
+type span struct {
+	start, end int
+}
+
+// header is a table header of the text.
+type header struct {
+	path Path
+	span span
 }
 
 // Dotted returns the dotted key of the statement.
@@ -38,6 +51,7 @@
 	places     []string
 	services   []string
 	statements []Statement
+	headers    []header
 	byDotted   map[string]int
 }
 
@@ -145,11 +159,11 @@
 	var prefix []string
 	for parser.NextExpression() {
 		expression := parser.Expression()
-		parts, line := keyParts(&parser, expression)
+		parts, line, at := keyParts(&parser, expression)
 		switch expression.Kind {
 		case unstable.Table:
 			prefix = parts
-			r.readTable(parts, line)
+			r.readTable(parts, line, at)
 		case unstable.KeyValue:
 			r.readStatement(append(slices.Clone(prefix), parts...), line, expression)
 		default:
@@ -159,20 +173,24 @@
 	}
 }
 
-func keyParts(parser *unstable.Parser, expression *unstable.Node) (parts []string, line int) {
+func keyParts(parser *unstable.Parser, expression *unstable.Node) (parts []string, line int, at span) {
 	names := expression.Key()
 	for names.Next() {
+		raw := names.Node().Raw
 		if line == 0 {
-			line = parser.Shape(names.Node().Raw).Start.Line
+			line = parser.Shape(raw).Start.Line
+			at.start = int(raw.Offset)
 		}
+		at.end = int(raw.Offset + raw.Length)
 		parts = append(parts, string(names.Node().Data))
 	}
 
-	return parts, line
+	return parts, line, at
 }
 
-func (r *reader) readTable(parts []string, line int) {
+func (r *reader) readTable(parts []string, line int, at span) {
 	path, rest := splitPath(parts)
+	r.tree.headers = append(r.tree.headers, header{path: path, span: at})
 	if len(rest) > 0 {
 		r.add(CodeUnknownKey, strings.Join(parts, "."), line, fmt.Sprintf("%q", rest[0]),
 			nearest(rest[0], []string{levelPlace, levelService, levelKind}), "place.NAME, service.NAME, service.NAME.kind.NAME, place.NAME.service.NAME")
@@ -212,7 +230,8 @@
 	r.tree.byDotted[path.Dotted(key.Name)] = len(r.tree.statements)
 	r.tree.statements = append(r.tree.statements, Statement{
 		Path: path, Key: key.Name, Value: value, Line: line,
-		offset: int(expression.Raw.Offset), length: int(expression.Raw.Length),
+		span:   span{int(expression.Raw.Offset), int(expression.Raw.Offset + expression.Raw.Length)},
+		header: len(r.tree.headers) - 1,
 	})
 }
 
--- /dev/null
+++ b/pkg/tree/plan.go
@@ -0,0 +1,95 @@
+package tree
+
+import "slices"
+
+// Target is a backend server that a plan counts.
+type Target struct {
+	Place   string
+	Service string
+}
+
+// Plan says what an edit changes before it is applied.
+type Plan struct {
+	Steps []Step `json:"steps"`
+	// Touched is the number of targets for which any effective value changes, of Total.
+	Touched int    `json:"touched"`
+	Total   int    `json:"total"`
+	Near    []Near `json:"near"`
+}
+
+// Step is one change of a plan.
+type Step struct {
+	Change
+	// Targets is the number of targets for which the effective value changes.
+	Targets int `json:"targets"`
+}
+
+// Near is a changed value that comes close to a hard rail.
+type Near struct {
+	Dotted string `json:"dotted"`
+	Value  Value  `json:"value"`
+	Rail   string `json:"rail"`
+}
+
+// NewPlan compares two trees over the targets that exist.
+func NewPlan(from, to *Tree, targets []Target) Plan {
+	plan := Plan{Steps: []Step{}, Near: []Near{}, Total: len(targets)}
+	groups := map[Target]int{}
+	for _, target := range targets {
+		groups[target]++
+	}
+	touched := map[Target]bool{}
+	for _, change := range Diff(from, to) {
+		step := Step{Change: change}
+		for target, count := range groups {
+			if change.reaches(from, to, target) {
+				step.Targets += count
+				touched[target] = true
+			}
+		}
+		plan.Steps = append(plan.Steps, step)
+		plan.addNear(change)
+	}
+	for target := range touched {
+		plan.Touched += groups[target]
+	}
+
+	return plan
+}
+
+func (p *Plan) addNear(change Change) {
+	if change.After == nil {
+		return
+	}
+	key := keysByName[change.Key]
+	if rail := key.Near(*change.After); rail != "" {
+		p.Near = append(p.Near, Near{Dotted: change.Dotted(), Value: *change.After, Rail: rail})
+	}
+}
+
+// reaches reports whether the change alters an effective value of the target, rather than one that is overridden below.
+func (c Change) reaches(from, to *Tree, target Target) bool {
+	if !covers(c.Path.Place, target.Place) || !covers(c.Path.Service, target.Service) {
+		return false
+	}
+	key := keysByName[c.Key]
+	if key.get == nil {
+		return c.Path.Service != "" || listed(c.After, target) != listed(c.Before, target)
+	}
+	kinds := []string{c.Path.Kind}
+	if c.Path.Kind == "" {
+		kinds = append(kinds, to.Kinds(target.Service)...)
+	}
+
+	return slices.ContainsFunc(kinds, func(kind string) bool {
+		at := Path{Place: target.Place, Service: target.Service, Kind: kind}
+		before, after := from.policyAt(at), to.policyAt(at)
+
+		return !key.get(&before).Equal(key.get(&after))
+	})
+}
+
+// listed reports whether a list of places or services names the target.
+func listed(v *Value, target Target) bool {
+	return v != nil && (slices.Contains(v.list, target.Place) || slices.Contains(v.list, target.Service))
+}
