--- /dev/null
+++ b/pkg/limit/window.go
@@ -0,0 +1,101 @@
+package limit
+
+import "time"
+
+// Verdict says what the end of one execution tells about the backend server's capacity.
+type Verdict uint8
+
+// Verdicts of an execution.
+const (
+	// VerdictOK is an answer in time.
+	VerdictOK Verdict = iota
+	// VerdictFault is an error that says nothing about load.
+	VerdictFault
+	// VerdictShed is the backend server's own refusal under load.
+	VerdictShed
+	// VerdictLate is an execution that the deadline ended.
+	VerdictLate
+)
+
+// Sample is one finished execution.
+type Sample struct {
+	Latency time.Duration
+	// Inflight is the number of executions that ran when this one began, itself included.
+	Inflight int
+	Verdict  Verdict
+}
+
+const (
+	windowTime    = 100 * time.Millisecond
+	windowMaxTime = time.Second
+	windowSamples = 10
+	trialSamples  = 50
+)
+
+// window sums up the samples of a short span.
+type window struct {
+	start       time.Time
+	samples     int
+	ok          int
+	shed        int
+	late        int
+	latency     time.Duration
+	timed       int
+	maxInflight int
+	// shedInflight is the lowest concurrency at which the backend server shed.
+	shedInflight int
+}
+
+func (w *window) add(s Sample) {
+	w.samples++
+	w.maxInflight = max(w.maxInflight, s.Inflight)
+	switch s.Verdict {
+	case VerdictOK:
+		w.ok++
+		w.time(s.Latency)
+	case VerdictLate:
+		w.late++
+		w.time(s.Latency)
+	case VerdictShed:
+		if w.shed == 0 || s.Inflight < w.shedInflight {
+			w.shedInflight = s.Inflight
+		}
+		w.shed++
+	case VerdictFault:
+	}
+}
+
+func (w *window) time(latency time.Duration) {
+	w.latency += latency
+	w.timed++
+}
+
+// full reports whether the window holds enough to judge by, which is more for a trial.
+func (w *window) full(now time.Time, trial bool) bool {
+	age := now.Sub(w.start)
+	need := windowSamples
+	if trial {
+		need = trialSamples
+	}
+
+	return age >= windowMaxTime || age >= windowTime && w.samples >= need
+}
+
+// mean returns the mean latency, zero if nothing was timed.
+func (w *window) mean() time.Duration {
+	if w.timed == 0 {
+		return 0
+	}
+
+	return w.latency / time.Duration(w.timed)
+}
+
+// rate returns the good answers per second.
+func (w *window) rate(now time.Time) float64 {
+	age := now.Sub(w.start).Seconds()
+	if age <= 0 {
+		return 0
+	}
+
+	return float64(w.ok) / age
+}
