--- /dev/null
+++ b/internal/admin/doc.go
@@ -0,0 +1,2 @@
+// Package admin is the operators' listener, on which the services of a node offer their pages.
+package admin
--- /dev/null
+++ b/internal/entry/choose.go
@@ -0,0 +1,77 @@
+package entry
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/pistachiotack/pistachiotack/pkg/call"
+	"github.com/pistachiotack/pistachiotack/pkg/member"
+	"github.com/pistachiotack/pistachiotack/pkg/tree"
+)
+
+// Query asks for the target of one attempt.
+type Query struct {
+	Root    call.Root
+	Service string
+	Rank    call.Rank
+	Policy  tree.Policy
+	// Tried names the targets of the earlier attempts.
+	Tried []string
+}
+
+// Choice is the target of one attempt, with what it was chosen from.
+type Choice struct {
+	Target     member.Entry
+	Candidates []string
+	Reason     call.Reason
+}
+
+// Result is what an entry saw of one attempt.
+type Result struct {
+	Target  string
+	Outcome call.Outcome
+	Reason  call.Reason
+	Took    time.Duration
+	// Status is the HTTP status of an answer, zero if none came.
+	Status      int
+	HasFeedback bool
+	Feedback    call.Feedback
+}
+
+// Chooser picks targets and learns from what became of the attempts.
+type Chooser interface {
+	// Choose picks among the members, or refuses; each choice must be followed by one Done.
+	Choose(now time.Time, query Query, members []member.Entry) (Choice, *call.Refusal)
+	Done(now time.Time, result Result)
+}
+
+// RoundRobin is the baseline: each target in turn, whatever became of earlier attempts.
+type RoundRobin struct {
+	next atomic.Uint64
+}
+
+// NewRoundRobin returns a chooser that starts with the first target.
+func NewRoundRobin() *RoundRobin {
+	return &RoundRobin{}
+}
+
+// Choose picks the next target that takes work.
+func (r *RoundRobin) Choose(_ time.Time, _ Query, members []member.Entry) (Choice, *call.Refusal) {
+	usable := make([]member.Entry, 0, len(members))
+	names := make([]string, 0, len(members))
+	for _, entry := range members {
+		if entry.TakesWork() {
+			usable = append(usable, entry)
+			names = append(names, entry.ID)
+		}
+	}
+	if len(usable) == 0 {
+		return Choice{}, call.NewRefusal(call.OutcomeNotRun, call.ReasonNoTarget)
+	}
+	turn := r.next.Add(1) % uint64(len(usable))
+
+	return Choice{Target: usable[turn], Candidates: names, Reason: call.ReasonOK}, nil
+}
+
+// Done learns nothing.
+func (r *RoundRobin) Done(time.Time, Result) {}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,166 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/pistachiotack/pistachiotack/internal/kernel"
+	"github.com/pistachiotack/pistachiotack/internal/listen"
+	"github.com/pistachiotack/pistachiotack/internal/meter"
+	"github.com/pistachiotack/pistachiotack/internal/relay"
+	"github.com/pistachiotack/pistachiotack/internal/scope"
+	"github.com/pistachiotack/pistachiotack/internal/trace"
+	"github.com/pistachiotack/pistachiotack/pkg/call"
+	"github.com/pistachiotack/pistachiotack/pkg/config"
+	"github.com/pistachiotack/pistachiotack/pkg/member"
+	"github.com/pistachiotack/pistachiotack/pkg/tree"
+)
+
+// Name is the name of the service.
+const Name = "entry"
+
+// maxBody is the largest request body in bytes that a caller may send.
+const maxBody = 1 << 20
+
+// drainInterval is how often a drain looks for calls that are still open.
+const drainInterval = 10 * time.Millisecond
+
+// ErrDrainDeadline is returned by Drain when calls are still open at its deadline.
+var ErrDrainDeadline = errors.New("calls still open at the drain deadline")
+
+// Settings gives the settings tree in force.
+type Settings interface {
+	Snapshot() *tree.Snapshot
+}
+
+// Members gives the nodes of a service as far as they are known.
+type Members interface {
+	Members(service string) []member.Entry
+}
+
+// Parents gives what the calls of a running operation inherit.
+type Parents interface {
+	Parent(op call.ID) (*scope.Scope, bool)
+}
+
+// Tracer takes decisions for the log.
+type Tracer interface {
+	Decide(decision trace.Decision)
+}
+
+// Options are the fixed properties of the entry.
+type Options struct {
+	Callers    string
+	Backend    string
+	DataCentre string
+	// OrphanCalls says what becomes of outgoing calls without a parent.
+	OrphanCalls string
+	Chooser     Chooser
+	Retrier     Retrier
+}
+
+// Entry is the kernel service that takes calls and makes their attempts.
+type Entry struct {
+	options  Options
+	settings Settings
+	members  Members
+	parents  Parents
+	tracer   Tracer
+	metrics  tally.Scope
+	client   *relay.Client
+	close    func()
+	callers  *listen.Server
+	backend  *listen.Server
+	active   atomic.Int64
+}
+
+// New returns an entry that still has to be started.
+func New(options Options) *Entry {
+	client, closeClient := relay.NewClient()
+
+	return &Entry{options: options, client: client, close: closeClient}
+}
+
+// String returns the name of the service.
+func (e *Entry) String() string {
+	return Name
+}
+
+// Start opens the listeners for callers and for the backend server's outgoing calls.
+func (e *Entry) Start(_ context.Context, k *kernel.Kernel) (<-chan error, error) {
+	if err := e.find(k); err != nil {
+		return nil, err
+	}
+	var err error
+	if e.callers, err = listen.New(e.options.Callers, e.handleCaller, listen.Options{MaxBody: maxBody}); err != nil {
+		return nil, err
+	}
+	if e.backend, err = listen.New(e.options.Backend, e.handleBackend, listen.Options{MaxBody: maxBody}); err != nil {
+		return nil, err
+	}
+
+	return e.callers.Done(), nil
+}
+
+// Stop closes the listeners and the connections to other nodes.
+func (e *Entry) Stop(ctx context.Context) error {
+	defer e.close()
+
+	return errors.CombineErrors(e.callers.Close(ctx), e.backend.Close(ctx))
+}
+
+// CallersAddress returns the address for callers.
+func (e *Entry) CallersAddress() string {
+	return e.callers.Address()
+}
+
+// BackendAddress returns the address for the backend server's outgoing calls.
+func (e *Entry) BackendAddress() string {
+	return e.backend.Address()
+}
+
+// Drain returns when no call is open, ErrDrainDeadline if the context ends before.
+func (e *Entry) Drain(ctx context.Context) error {
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	for e.active.Load() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return errors.Wrapf(ErrDrainDeadline, "%d calls", e.active.Load())
+		}
+	}
+
+	return nil
+}
+
+func (e *Entry) find(k *kernel.Kernel) error {
+	var err error
+	if e.settings, err = kernel.Find[Settings](k, "holder"); err != nil {
+		return err
+	}
+	if e.members, err = kernel.Find[Members](k, "gossip"); err != nil {
+		return err
+	}
+	if e.parents, err = kernel.Find[Parents](k, "exec"); err != nil {
+		return err
+	}
+	if e.tracer, err = kernel.Find[Tracer](k, trace.Name); err != nil {
+		return err
+	}
+	metrics, err := kernel.Find[*meter.Meter](k, meter.Name)
+	if err != nil {
+		return err
+	}
+	e.metrics = metrics.Scope().SubScope(Name)
+
+	return nil
+}
+
+func (e *Entry) allowsOrphans() bool {
+	return e.options.OrphanCalls == config.OrphanRoot
+}
--- /dev/null
+++ b/internal/entry/retry.go
@@ -0,0 +1,58 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/pistachiotack/pistachiotack/pkg/call"
+	"github.com/pistachiotack/pistachiotack/pkg/tree"
+)
+
+// Failure is an attempt that brought no answer, or one that blames the backend server.
+type Failure struct {
+	Service    string
+	Policy     tree.Policy
+	Attempt    int
+	Outcome    call.Outcome
+	Reason     call.Reason
+	Final      bool
+	RetryAfter time.Duration
+	Remaining  time.Duration
+}
+
+// Verdict says whether to make another attempt, and after which wait.
+type Verdict struct {
+	Retry  bool
+	After  time.Duration
+	Reason call.Reason
+}
+
+// Retrier decides about further attempts.
+type Retrier interface {
+	// First counts a first attempt, on which the retry ratio is based.
+	First(now time.Time, service string)
+	Decide(now time.Time, failure Failure) Verdict
+}
+
+// baselineRetries is how often the baseline tries again.
+const baselineRetries = 3
+
+// FixedRetrier is the baseline: up to three retries at once, whatever the load.
+type FixedRetrier struct{}
+
+// NewFixedRetrier returns the baseline.
+func NewFixedRetrier() FixedRetrier {
+	return FixedRetrier{}
+}
+
+// First counts nothing.
+func (FixedRetrier) First(time.Time, string) {}
+
+// Decide allows a retry where running twice does no harm.
+func (FixedRetrier) Decide(_ time.Time, failure Failure) Verdict {
+	safe := failure.Outcome == call.OutcomeNotRun || (failure.Policy.Idempotent && !failure.Policy.Once)
+	if !safe || failure.Attempt > baselineRetries {
+		return Verdict{Reason: failure.Reason}
+	}
+
+	return Verdict{Retry: true, Reason: failure.Reason}
+}
--- /dev/null
+++ b/internal/entry/run.go
@@ -0,0 +1,212 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cockroachdb/errors"
+
+	"github.com/pistachiotack/pistachiotack/internal/relay"
+	"github.com/pistachiotack/pistachiotack/internal/trace"
+	"github.com/pistachiotack/pistachiotack/internal/wire"
+	"github.com/pistachiotack/pistachiotack/pkg/call"
+	"github.com/pistachiotack/pistachiotack/pkg/member"
+)
+
+// run makes attempts until one brings an answer or there is a reason to give up.
+func (r *request) run(c context.Context) *call.Refusal {
+	if refusal := r.check(); refusal != nil {
+		return refusal
+	}
+	r.entry.options.Retrier.First(r.started, r.policy.Service)
+	for {
+		r.attempt++
+		failure := r.try(c)
+		if failure == nil {
+			return nil
+		}
+		if refusal := r.pause(c, failure); refusal != nil {
+			return refusal
+		}
+	}
+}
+
+func (r *request) check() *call.Refusal {
+	switch {
+	case r.policy.Service == "":
+		return call.NewRefusal(call.OutcomeNotRun, call.ReasonUnknownService).
+			WithDetail("name the service in the first label of Host or in %s", wire.HeaderService)
+	case r.scope.Depth >= r.policy.Depth:
+		return call.NewRefusal(call.OutcomeNotRun, call.ReasonTooDeep).WithFinal()
+	case !r.expires.After(r.started):
+		return call.NewRefusal(call.OutcomeNotRun, call.ReasonDeadline).WithFinal()
+	default:
+		return nil
+	}
+}
+
+// try makes one attempt, and returns nil once the answer is under way to the caller.
+func (r *request) try(c context.Context) *call.Refusal {
+	answer, target, failure := r.fetchFrom(c)
+	if failure != nil {
+		return failure
+	}
+	r.pass(c, target, answer)
+
+	return nil
+}
+
+// fetch makes one attempt and returns its answer.
+func (r *request) fetch(c context.Context) (*relay.Answer, *call.Refusal) {
+	answer, _, failure := r.fetchFrom(c)
+
+	return answer, failure
+}
+
+func (r *request) fetchFrom(c context.Context) (*relay.Answer, member.Entry, *call.Refusal) {
+	now := time.Now()
+	choice, refusal := r.choose(now)
+	if refusal != nil {
+		return nil, choice.Target, refusal
+	}
+	grant, ok := r.scope.Ledger.Spend()
+	if !ok {
+		r.entry.options.Chooser.Done(now, Result{Target: choice.Target.ID, Outcome: call.OutcomeNotRun, Reason: call.ReasonNoCredits})
+
+		return nil, choice.Target, call.NewRefusal(call.OutcomeNotRun, call.ReasonNoCredits).WithFinal()
+	}
+	answer := &relay.Answer{}
+	result := r.send(c, choice.Target, grant, answer)
+	result.Target = choice.Target.ID
+	result.Took = time.Since(now)
+	r.scope.Ledger.Return(result.Feedback.Unspent)
+	r.entry.options.Chooser.Done(time.Now(), result)
+	r.decide(trace.Decision{Step: trace.StepAttempt, Chosen: choice.Target.ID, Outcome: result.Outcome, Reason: result.Reason})
+	if result.Outcome == call.OutcomeRan {
+		return answer, choice.Target, nil
+	}
+	answer.Close()
+
+	return nil, choice.Target, failureOf(result)
+}
+
+func (r *request) choose(now time.Time) (Choice, *call.Refusal) {
+	choice, refusal := r.entry.options.Chooser.Choose(now, Query{
+		Root:    r.scope.Root,
+		Service: r.policy.Service,
+		Rank:    r.rank,
+		Policy:  r.policy,
+		Tried:   r.tried,
+	}, r.entry.members.Members(r.policy.Service))
+	if refusal != nil {
+		return choice, refusal
+	}
+	r.tried = append(r.tried, choice.Target.ID)
+	r.decide(trace.Decision{Step: trace.StepRoute, Chosen: choice.Target.ID, Candidates: choice.Candidates, Reason: choice.Reason})
+
+	return choice, nil
+}
+
+// send carries the call to the target and says what came of it.
+func (r *request) send(c context.Context, target member.Entry, grant int, answer *relay.Answer) Result {
+	request, err := r.outgoing(target, grant)
+	if err != nil {
+		return Result{Outcome: call.OutcomeNotRun, Reason: call.ReasonBadRequest}
+	}
+	err = r.entry.client.Do(c, target.Peers, request, answer, relay.Limits{
+		Body:     int(r.policy.BufferAnswer),
+		Stream:   r.policy.Stream,
+		Progress: r.policy.Progress,
+	})
+
+	return classify(err, answer, grant)
+}
+
+func (r *request) outgoing(target member.Entry, grant int) (*protocol.Request, error) {
+	in := &r.http.Request
+	out := &protocol.Request{}
+	out.Header.SetMethodBytes(in.Header.Method())
+	out.Header.SetRequestURIBytes(in.Header.RequestURI())
+	out.Header.SetHostBytes(in.Header.Host())
+	wire.CopyRequestHeaders(&out.Header, &in.Header)
+	out.SetBodyRaw(in.Body())
+
+	return out, wire.SetEnvelope(&out.Header, call.Envelope{
+		Op:          r.op,
+		Root:        r.scope.Root,
+		Parent:      r.scope.Parent,
+		Service:     r.policy.Service,
+		Kind:        r.policy.Kind,
+		Caller:      r.scope.Caller,
+		Attempt:     r.attempt,
+		Depth:       r.scope.Depth + 1,
+		Credits:     grant,
+		Rank:        r.rank,
+		Once:        r.policy.Once,
+		Remaining:   time.Until(r.expires),
+		Incarnation: target.Incarnation,
+		Revision:    r.scope.Snapshot.Revision(),
+	})
+}
+
+// classify tells what is certain after an attempt; credits of a lost answer are lost.
+func classify(err error, answer *relay.Answer, grant int) Result {
+	var fault *relay.Fault
+	if errors.As(err, &fault) {
+		result := Result{Outcome: fault.Outcome(), Reason: fault.Reason}
+		if result.Outcome == call.OutcomeNotRun {
+			result.Feedback.Unspent = grant
+		}
+
+		return result
+	}
+	feedback, ok := wire.Feedback(&answer.Response.Header)
+	if !ok || !feedback.Outcome.Valid() {
+		return Result{Outcome: call.OutcomeUnknown, Reason: call.ReasonTorn}
+	}
+	result := Result{Outcome: feedback.Outcome, Reason: feedback.Reason, HasFeedback: true, Feedback: feedback}
+	result.Status = answer.Response.StatusCode()
+	if feedback.Outcome == call.OutcomeRan && answer.Stream == nil && feedback.Digest != digest(answer.Response.Body()) {
+		result.Outcome = call.OutcomeUnknown
+		result.Reason = call.ReasonTorn
+	}
+
+	return result
+}
+
+func failureOf(result Result) *call.Refusal {
+	refusal := call.NewRefusal(result.Outcome, result.Reason).WithRetryAfter(result.Feedback.RetryAfter)
+	refusal.Final = result.Feedback.Final
+
+	return refusal
+}
+
+// pause asks whether to try again and waits; it returns the refusal to give up with.
+func (r *request) pause(c context.Context, failure *call.Refusal) *call.Refusal {
+	verdict := r.entry.options.Retrier.Decide(time.Now(), Failure{
+		Service:    r.policy.Service,
+		Policy:     r.policy,
+		Attempt:    r.attempt,
+		Outcome:    failure.Outcome,
+		Reason:     failure.Reason,
+		Final:      failure.Final,
+		RetryAfter: failure.RetryAfter,
+		Remaining:  time.Until(r.expires),
+	})
+	if !verdict.Retry {
+		return failure
+	}
+	r.decide(trace.Decision{Step: trace.StepRetry, Outcome: failure.Outcome, Reason: verdict.Reason})
+	if verdict.After <= 0 {
+		return nil
+	}
+	timer := time.NewTimer(verdict.After)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-c.Done():
+		return failure
+	}
+}
--- /dev/null
+++ b/internal/exec/admit.go
@@ -0,0 +1,80 @@
+package exec
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/pistachiotack/pistachiotack/pkg/call"
+	"github.com/pistachiotack/pistachiotack/pkg/tree"
+)
+
+// Item is a call that asks to be admitted.
+type Item struct {
+	Envelope call.Envelope
+	Policy   tree.Policy
+	Expires  time.Time
+}
+
+// Finished is what is known of a call when it gives its slot back.
+type Finished struct {
+	Took time.Duration
+	// Load is the backend server's own report, negative if it made none.
+	Load float64
+	// Shed says that the backend server refused the call itself.
+	Shed bool
+	// Broken says that the call ended without an answer.
+	Broken bool
+}
+
+// Pressure is what an executing node tells about its load with each answer.
+type Pressure struct {
+	Threshold call.Rank
+	Inflight  int
+	Queued    int
+	Limit     int
+}
+
+// Admitter decides which calls run, and when.
+type Admitter interface {
+	// Admit returns once the call may run, or with the refusal; release must be called exactly once.
+	Admit(ctx context.Context, item Item) (release func(Finished), refusal *call.Refusal)
+	// Pressure returns the load at this moment.
+	Pressure() Pressure
+}
+
+// FixedAdmitter is the baseline: as many calls as there are slots, the rest wait in order until their deadline.
+type FixedAdmitter struct {
+	slots    chan struct{}
+	inflight atomic.Int64
+	queued   atomic.Int64
+}
+
+// NewFixedAdmitter returns an admitter for that many slots.
+func NewFixedAdmitter(slots int) *FixedAdmitter {
+	return &FixedAdmitter{slots: make(chan struct{}, slots)}
+}
+
+// Admit waits for a slot until the context ends.
+func (a *FixedAdmitter) Admit(ctx context.Context, _ Item) (func(Finished), *call.Refusal) {
+	a.queued.Add(1)
+	defer a.queued.Add(-1)
+	select {
+	case a.slots <- struct{}{}:
+		a.inflight.Add(1)
+
+		return a.release, nil
+	case <-ctx.Done():
+		return nil, call.NewRefusal(call.OutcomeNotRun, call.ReasonQueueTimeout)
+	}
+}
+
+// Pressure returns the number of calls that run and wait.
+func (a *FixedAdmitter) Pressure() Pressure {
+	return Pressure{Inflight: int(a.inflight.Load()), Queued: int(a.queued.Load()), Limit: cap(a.slots)}
+}
+
+func (a *FixedAdmitter) release(Finished) {
+	a.inflight.Add(-1)
+	<-a.slots
+}
--- /dev/null
+++ b/internal/exec/exec.go
@@ -0,0 +1,168 @@
+package exec
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/pistachiotack/pistachiotack/internal/kernel"
+	"github.com/pistachiotack/pistachiotack/internal/listen"
+	"github.com/pistachiotack/pistachiotack/internal/meter"
+	"github.com/pistachiotack/pistachiotack/internal/relay"
+	"github.com/pistachiotack/pistachiotack/internal/scope"
+	"github.com/pistachiotack/pistachiotack/internal/trace"
+	"github.com/pistachiotack/pistachiotack/pkg/call"
+	"github.com/pistachiotack/pistachiotack/pkg/member"
+	"github.com/pistachiotack/pistachiotack/pkg/tree"
+)
+
+// Name is the name of the service.
+const Name = "exec"
+
+// maxBody is the largest request body in bytes that a peer may send.
+const maxBody = 1 << 20
+
+// drainInterval is how often a drain looks for calls that still run.
+const drainInterval = 10 * time.Millisecond
+
+// ErrDrainDeadline is returned by Drain when calls still run at its deadline.
+var ErrDrainDeadline = errors.New("calls still run at the drain deadline")
+
+// Settings gives the settings tree in force.
+type Settings interface {
+	Snapshot() *tree.Snapshot
+}
+
+// Tracer takes decisions for the log.
+type Tracer interface {
+	Decide(decision trace.Decision)
+}
+
+// Options are the fixed properties of the executing node.
+type Options struct {
+	Listen      string
+	DataCentre  string
+	Service     string
+	Incarnation uint64
+	Backend     string
+	Admitter    Admitter
+}
+
+// Exec is the kernel service that runs calls on the backend server.
+type Exec struct {
+	options  Options
+	settings Settings
+	tracer   Tracer
+	metrics  tally.Scope
+	client   *relay.Client
+	close    func()
+	server   *listen.Server
+
+	state   atomic.Value
+	active  atomic.Int64
+	mu      sync.RWMutex
+	running map[call.ID]*scope.Scope
+}
+
+// New returns an executing node that still has to be started.
+func New(options Options) *Exec {
+	client, closeClient := relay.NewClient()
+	e := &Exec{options: options, client: client, close: closeClient, running: map[call.ID]*scope.Scope{}}
+	e.state.Store(member.StateServing)
+
+	return e
+}
+
+// String returns the name of the service.
+func (e *Exec) String() string {
+	return Name
+}
+
+// Start opens the listener for peers.
+func (e *Exec) Start(_ context.Context, k *kernel.Kernel) (<-chan error, error) {
+	var err error
+	if e.settings, err = kernel.Find[Settings](k, "holder"); err != nil {
+		return nil, err
+	}
+	if e.tracer, err = kernel.Find[Tracer](k, trace.Name); err != nil {
+		return nil, err
+	}
+	metrics, err := kernel.Find[*meter.Meter](k, meter.Name)
+	if err != nil {
+		return nil, err
+	}
+	e.metrics = metrics.Scope().SubScope(Name)
+	if e.server, err = listen.New(e.options.Listen, e.handle, listen.Options{MaxBody: maxBody}); err != nil {
+		return nil, err
+	}
+
+	return e.server.Done(), nil
+}
+
+// Stop closes the listener and the connections to the backend server.
+func (e *Exec) Stop(ctx context.Context) error {
+	defer e.close()
+
+	return e.server.Close(ctx)
+}
+
+// Address returns the address for peers.
+func (e *Exec) Address() string {
+	return e.server.Address()
+}
+
+// SetState changes what peers are told; a draining node refuses new calls at once.
+func (e *Exec) SetState(state member.State) {
+	e.state.Store(state)
+}
+
+// State returns what peers are told.
+func (e *Exec) State() member.State {
+	state, _ := e.state.Load().(member.State)
+
+	return state
+}
+
+// Parent returns what the outgoing calls of a running operation inherit.
+func (e *Exec) Parent(op call.ID) (*scope.Scope, bool) {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+	parent, found := e.running[op]
+
+	return parent, found
+}
+
+// Drain refuses new calls and returns when none runs, ErrDrainDeadline if the context ends before.
+func (e *Exec) Drain(ctx context.Context) error {
+	e.SetState(member.StateDraining)
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	for e.active.Load() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return errors.Wrapf(ErrDrainDeadline, "%d calls", e.active.Load())
+		}
+	}
+
+	return nil
+}
+
+func (e *Exec) enter(op call.ID, running *scope.Scope) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running[op] = running
+}
+
+// leave ends the operation and returns the attempts that it leaves unspent.
+func (e *Exec) leave(op call.ID, running *scope.Scope) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.running, op)
+
+	return running.Ledger.Close()
+}
--- /dev/null
+++ b/internal/exec/handle.go
@@ -0,0 +1,139 @@
+package exec
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cockroachdb/errors"
+
+	"github.com/pistachiotack/pistachiotack/internal/relay"
+	"github.com/pistachiotack/pistachiotack/internal/scope"
+	"github.com/pistachiotack/pistachiotack/internal/trace"
+	"github.com/pistachiotack/pistachiotack/internal/wire"
+	"github.com/pistachiotack/pistachiotack/pkg/call"
+	"github.com/pistachiotack/pistachiotack/pkg/member"
+	"github.com/pistachiotack/pistachiotack/pkg/tree"
+)
+
+// execution is one call on its way through the executing node.
+type execution struct {
+	exec     *Exec
+	http     *app.RequestContext
+	envelope call.Envelope
+	policy   tree.Policy
+	snapshot *tree.Snapshot
+	started  time.Time
+	expires  time.Time
+	unspent  int
+}
+
+// handle serves one call from a peer.
+func (e *Exec) handle(c context.Context, ctx *app.RequestContext) {
+	e.active.Add(1)
+	defer e.active.Add(-1)
+
+	now := time.Now()
+	envelope, err := wire.Envelope(&ctx.Request.Header)
+	if err != nil {
+		wire.WriteRefusal(&ctx.Response, call.NewRefusal(call.OutcomeNotRun, call.ReasonBadRequest).WithDetail("%v", err), "")
+
+		return
+	}
+	snapshot := e.settings.Snapshot()
+	header := &ctx.Request.Header
+	x := &execution{
+		exec:     e,
+		http:     ctx,
+		envelope: envelope,
+		snapshot: snapshot,
+		policy:   snapshot.Policy(e.options.DataCentre, envelope.Service, string(header.Method()), string(ctx.Request.URI().Path())),
+		started:  now,
+		expires:  now.Add(envelope.Remaining),
+		unspent:  envelope.Credits,
+	}
+	c, cancel := context.WithDeadline(c, x.expires)
+	defer cancel()
+	if refusal := x.run(c); refusal != nil {
+		x.refuse(refusal)
+	}
+}
+
+// run takes the call through admission to the backend server.
+func (x *execution) run(c context.Context) *call.Refusal {
+	if refusal := x.check(); refusal != nil {
+		return refusal
+	}
+	release, refusal := x.exec.options.Admitter.Admit(c, Item{Envelope: x.envelope, Policy: x.policy, Expires: x.expires})
+	if refusal != nil {
+		return refusal
+	}
+	x.decide(trace.StepAdmit, call.OutcomeRan, call.ReasonOK, "")
+	began := time.Now()
+	finished, refusal := x.forward(c)
+	finished.Took = time.Since(began)
+	release(finished)
+
+	return refusal
+}
+
+// check refuses what this node must not run.
+func (x *execution) check() *call.Refusal {
+	switch {
+	case x.exec.State() == member.StateDraining:
+		return call.NewRefusal(call.OutcomeNotRun, call.ReasonDraining)
+	case x.envelope.Incarnation != 0 && x.envelope.Incarnation != x.exec.options.Incarnation:
+		return call.NewRefusal(call.OutcomeNotRun, call.ReasonWrongIncarnation)
+	case x.envelope.Service != x.exec.options.Service:
+		return call.NewRefusal(call.OutcomeNotRun, call.ReasonUnknownService).WithDetail("this node serves %q", x.exec.options.Service)
+	case x.envelope.Remaining <= 0:
+		return call.NewRefusal(call.OutcomeNotRun, call.ReasonDeadline)
+	default:
+		return nil
+	}
+}
+
+// forward runs the call on the backend server, while its outgoing calls may use the sub-grant.
+func (x *execution) forward(c context.Context) (Finished, *call.Refusal) {
+	running := &scope.Scope{
+		Root:     x.envelope.Root,
+		Parent:   x.envelope.Op,
+		Caller:   x.envelope.Caller,
+		Rank:     x.envelope.Rank,
+		Depth:    x.envelope.Depth,
+		Ledger:   scope.NewPurse(x.envelope.Credits),
+		Expires:  x.expires,
+		Snapshot: x.snapshot,
+	}
+	x.exec.enter(x.envelope.Op, running)
+	answer := &relay.Answer{}
+	defer answer.Close()
+	err := x.exec.client.Do(c, x.exec.options.Backend, x.outgoing(), answer, relay.Limits{
+		Body:   int(x.policy.BufferAnswer),
+		Stream: x.policy.Stream,
+	})
+	if err == nil && answer.Stream != nil {
+		return x.passStream(answer, running)
+	}
+	x.unspent = x.exec.leave(x.envelope.Op, running)
+	if err != nil {
+		return Finished{Load: noLoad, Broken: true}, refusalOf(err)
+	}
+
+	return x.passBuffered(answer)
+}
+
+// refusalOf turns a failed attempt on the backend server into what the entry is told.
+func refusalOf(err error) *call.Refusal {
+	var fault *relay.Fault
+	if !errors.As(err, &fault) {
+		return call.NewRefusal(call.OutcomeUnknown, call.ReasonBroken).WithDetail("%v", err)
+	}
+
+	return call.NewRefusal(fault.Outcome(), fault.Reason).WithDetail("backend server: %v", fault.Cause)
+}
+
+func digest(body []byte) uint64 {
+	return xxhash.Sum64(body)
+}
--- /dev/null
+++ b/internal/listen/listen.go
@@ -0,0 +1,91 @@
+package listen
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	idleTimeout = time.Minute
+	readTimeout = 30 * time.Second
+	// closeTimeout bounds the wait for idle keep-alive connections at the end.
+	closeTimeout = 50 * time.Millisecond
+	anyPath      = "/*path"
+)
+
+// Server is one listener with one handler for all methods and paths.
+type Server struct {
+	hertz    *server.Hertz
+	listener net.Listener
+	done     chan error
+}
+
+// Options bounds what the listener accepts.
+type Options struct {
+	// MaxBody is the largest request body in bytes.
+	MaxBody int
+	// Routes registers handlers for paths of their own, nil for the one handler alone.
+	Routes func(*server.Hertz)
+}
+
+// New binds the address, port 0 for a free one, and serves the handler until Close.
+func New(address string, handler app.HandlerFunc, options Options) (*Server, error) {
+	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", address)
+	}
+	hertz := server.New(
+		server.WithListener(listener),
+		server.WithTransport(standard.NewTransporter),
+		server.WithSenseClientDisconnection(true),
+		server.WithMaxRequestBodySize(options.MaxBody),
+		server.WithIdleTimeout(idleTimeout),
+		server.WithReadTimeout(readTimeout),
+		server.WithRedirectTrailingSlash(false),
+		server.WithDisablePreParseMultipartForm(true),
+		server.WithDisableDefaultContentType(true),
+		server.WithDisablePrintRoute(true),
+		server.WithExitWaitTime(closeTimeout),
+	)
+	if options.Routes != nil {
+		options.Routes(hertz)
+	}
+	if handler != nil {
+		hertz.Any(anyPath, handler)
+	}
+	s := &Server{hertz: hertz, listener: listener, done: make(chan error, 1)}
+	go s.serve()
+
+	return s, nil
+}
+
+// Address returns the bound address.
+func (s *Server) Address() string {
+	return s.listener.Addr().String()
+}
+
+// Done reports the end of the listener.
+func (s *Server) Done() <-chan error {
+	return s.done
+}
+
+// Close stops listening; requests must have been drained before.
+func (s *Server) Close(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
+	defer cancel()
+	if err := s.hertz.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		return errors.Wrapf(err, "close listener %s", s.Address())
+	}
+
+	return nil
+}
+
+func (s *Server) serve() {
+	s.done <- s.hertz.Run()
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,155 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pistachiotack/pistachiotack/internal/admin"
+	"github.com/pistachiotack/pistachiotack/internal/entry"
+	"github.com/pistachiotack/pistachiotack/internal/exec"
+	"github.com/pistachiotack/pistachiotack/internal/kernel"
+	"github.com/pistachiotack/pistachiotack/internal/meter"
+	"github.com/pistachiotack/pistachiotack/internal/trace"
+	"github.com/pistachiotack/pistachiotack/pkg/config"
+	"github.com/pistachiotack/pistachiotack/pkg/member"
+	"github.com/pistachiotack/pistachiotack/pkg/tree"
+)
+
+// stopTimeout bounds the stop of the services after the drain.
+const stopTimeout = 2 * time.Second
+
+// Node is one running node.
+type Node struct {
+	settings    config.Node
+	incarnation uint64
+	log         *slog.Logger
+	entry       *entry.Entry
+	exec        *exec.Exec
+	admin       *admin.Admin
+	members     *fixedMembers
+	started     *kernel.Started
+}
+
+// Start builds and starts a node; it runs until Stop.
+func Start(ctx context.Context, settings config.Node, log *slog.Logger) (*Node, error) {
+	n := &Node{settings: settings, incarnation: uint64(time.Now().UnixNano()), log: log}
+	k := kernel.New(log)
+	for _, service := range n.services() {
+		if err := k.Register(service); err != nil {
+			return nil, err
+		}
+	}
+	var err error
+	if n.started, err = k.Start(ctx); err != nil {
+		return nil, err
+	}
+	if err = n.announce(); err != nil {
+		return nil, errors.CombineErrors(err, n.started.Stop(ctx))
+	}
+	n.log.LogAttrs(ctx, slog.LevelInfo, "node started",
+		slog.String("node", settings.Name),
+		slog.String("callers", n.entry.CallersAddress()),
+		slog.String("peers", n.exec.Address()),
+		slog.String("backend", n.entry.BackendAddress()),
+		slog.String("operators", n.admin.Address()),
+	)
+
+	return n, nil
+}
+
+// Wait returns when the context ends, or with an error when a service of the node ends.
+func (n *Node) Wait(ctx context.Context) error {
+	return n.started.Wait(ctx)
+}
+
+// Stop refuses new calls, waits for those in flight and then ends the services.
+func (n *Node) Stop(ctx context.Context) error {
+	drain, cancel := context.WithTimeout(ctx, tree.Default().DrainDeadline)
+	defer cancel()
+	err := errors.CombineErrors(n.exec.Drain(drain), n.entry.Drain(drain))
+	stop, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+	defer cancelStop()
+
+	return errors.CombineErrors(err, n.started.Stop(stop))
+}
+
+// Entry returns what other nodes need to know of this one.
+func (n *Node) Entry() member.Entry {
+	return member.Entry{
+		ID:          n.settings.Name,
+		Incarnation: n.incarnation,
+		DataCentre:  n.settings.DataCentre,
+		Service:     n.settings.Service,
+		State:       member.StateServing,
+		Peers:       n.exec.Address(),
+		Slots:       n.settings.Backend.Slots,
+		Connections: n.settings.Backend.Connections,
+	}
+}
+
+// SetMembers names the fleet.
+func (n *Node) SetMembers(entries []member.Entry) {
+	n.members.set(entries)
+}
+
+// Addresses returns what the node listens on.
+func (n *Node) Addresses() Addresses {
+	return Addresses{
+		Callers:   n.entry.CallersAddress(),
+		Peers:     n.exec.Address(),
+		Backend:   n.entry.BackendAddress(),
+		Operators: n.admin.Address(),
+	}
+}
+
+// services returns the services in the order in which they start.
+func (n *Node) services() []kernel.Service {
+	s := n.settings
+	n.members = newFixedMembers(fixedEntries(s.Fleet.Targets))
+	n.exec = exec.New(exec.Options{
+		Listen:      s.Listen.Peers,
+		DataCentre:  s.DataCentre,
+		Service:     s.Service,
+		Incarnation: n.incarnation,
+		Backend:     s.Backend.Address,
+		Admitter:    exec.NewFixedAdmitter(s.Backend.Slots),
+	})
+	n.entry = entry.New(entry.Options{
+		Callers:     s.Listen.Callers,
+		Backend:     s.Listen.Backend,
+		DataCentre:  s.DataCentre,
+		OrphanCalls: s.Backend.OrphanCalls,
+		Chooser:     entry.NewRoundRobin(),
+		Retrier:     entry.NewFixedRetrier(),
+	})
+	n.admin = admin.New(s.Listen.Operators)
+
+	return []kernel.Service{
+		trace.New(n.log, s.Name, s.Log.Buffer, s.Log.Decisions),
+		meter.New(map[string]string{"node": s.Name, "data_centre": s.DataCentre, "target_service": s.Service}),
+		newFixedSettings(tree.Empty()),
+		n.members,
+		n.exec,
+		n.entry,
+		n.admin,
+	}
+}
+
+func fixedEntries(targets []config.Target) []member.Entry {
+	entries := make([]member.Entry, 0, len(targets))
+	for _, target := range targets {
+		entries = append(entries, member.Entry{
+			ID:         target.Name,
+			DataCentre: target.DataCentre,
+			Service:    target.Service,
+			State:      member.StateServing,
+			Peers:      target.Peers,
+			Control:    target.Control,
+		})
+	}
+
+	return entries
+}
--- /dev/null
+++ b/internal/relay/client.go
@@ -0,0 +1,220 @@
+package relay
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/network"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/req"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
+	"github.com/cockroachdb/errors"
+
+	"github.com/pistachiotack/pistachiotack/pkg/call"
+)
+
+// Errors that a fault wraps.
+var (
+	errStale     = errors.New("connection closed before the first byte of an answer")
+	errNoLength  = errors.New("answer states no length")
+	errNoTime    = errors.New("no time left")
+	errLeftovers = errors.New("bytes after the end of the answer")
+)
+
+// Client makes attempts and keeps connections between them.
+type Client struct {
+	mu    sync.RWMutex
+	pools map[string]*pool
+}
+
+// NewClient returns a client without connections, and the function that closes those it keeps.
+func NewClient() (*Client, func()) {
+	c := &Client{pools: map[string]*pool{}}
+
+	return c, c.close
+}
+
+// Limits bounds one attempt.
+type Limits struct {
+	// Body is the largest answer in bytes that is buffered.
+	Body int
+	// Stream asks for the body as a stream if the answer is successful.
+	Stream bool
+	// Waiting is called each time Progress has passed without an answer, and may end the attempt.
+	Progress time.Duration
+	Waiting  func() error
+}
+
+// Do makes one attempt within the context's deadline; a *Fault says how far a failed one came.
+func (c *Client) Do(ctx context.Context, address string, request *protocol.Request, answer *Answer, limits Limits) error {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return &Fault{Stage: StageDial, Reason: call.ReasonBadRequest, Cause: errors.New("attempt without deadline")}
+	}
+	now := time.Now()
+	if !deadline.After(now) {
+		return &Fault{Stage: StageDial, Reason: call.ReasonDeadline, Cause: errNoTime}
+	}
+	attempt := &attempt{pool: c.pool(address), limits: limits, answer: answer, deadline: deadline}
+	if err := attempt.open(now); err != nil {
+		return err
+	}
+
+	return attempt.run(ctx, request)
+}
+
+// Drop closes the connections to the address, those in use too as soon as they are done.
+func (c *Client) Drop(address string) {
+	c.pool(address).drop()
+}
+
+func (c *Client) pool(address string) *pool {
+	c.mu.RLock()
+	known := c.pools[address]
+	c.mu.RUnlock()
+	if known != nil {
+		return known
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if known = c.pools[address]; known == nil {
+		known = &pool{address: address}
+		c.pools[address] = known
+	}
+
+	return known
+}
+
+func (c *Client) close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range c.pools {
+		p.drop()
+	}
+}
+
+type attempt struct {
+	pool       *pool
+	limits     Limits
+	answer     *Answer
+	deadline   time.Time
+	conn       network.Conn
+	generation uint64
+	cancelled  func() bool
+}
+
+func (a *attempt) open(now time.Time) error {
+	a.conn, a.generation = a.pool.get(now)
+	if a.conn != nil {
+		return nil
+	}
+	var err error
+	if a.conn, err = a.pool.dial(a.deadline.Sub(now)); err != nil {
+		return &Fault{Stage: StageDial, Reason: call.ReasonConnect, Cause: err}
+	}
+
+	return nil
+}
+
+// run sends the request and reads the answer; a cancelled context closes the attempt's own connection.
+func (a *attempt) run(ctx context.Context, request *protocol.Request) error {
+	if request.Header.IsHead() {
+		a.answer.Response.SkipBody = true
+	}
+	conn := a.conn
+	a.cancelled = context.AfterFunc(ctx, func() { _ = conn.Close() })
+	if err := a.send(request); err != nil {
+		return a.fail(ctx, StageWrite, call.ReasonBroken, err)
+	}
+	if err := a.wait(); err != nil {
+		return a.fail(ctx, StageWait, waitReason(err), err)
+	}
+	if err := resp.ReadHeaders(&a.answer.Response, a.conn); err != nil {
+		return a.fail(ctx, StageWait, call.ReasonBroken, err)
+	}
+	if err := a.body(ctx); err != nil {
+		return a.fail(ctx, StageBody, call.ReasonTorn, err)
+	}
+
+	return nil
+}
+
+func (a *attempt) send(request *protocol.Request) error {
+	if err := a.conn.SetWriteDeadline(a.deadline); err != nil {
+		return err
+	}
+	if err := req.Write(request, a.conn); err != nil {
+		return err
+	}
+
+	return a.conn.Flush()
+}
+
+// wait returns at the first byte of the answer; each silent interval it asks whether to go on.
+func (a *attempt) wait() error {
+	for {
+		until := a.deadline
+		if a.limits.Progress > 0 && a.limits.Waiting != nil {
+			until = earlier(until, time.Now().Add(a.limits.Progress))
+		}
+		if err := a.conn.SetReadDeadline(until); err != nil {
+			return err
+		}
+		_, err := a.conn.Peek(1)
+		switch {
+		case err == nil:
+			return a.conn.SetReadDeadline(a.deadline)
+		case !isTimeout(err):
+			return errors.CombineErrors(errStale, err)
+		case until.Equal(a.deadline):
+			return errNoTime
+		}
+		if err := a.limits.Waiting(); err != nil {
+			return err
+		}
+	}
+}
+
+func (a *attempt) body(ctx context.Context) error {
+	response := &a.answer.Response
+	if response.Header.ContentLength() == identityLength && !response.MustSkipBody() {
+		return errNoLength
+	}
+	if a.limits.Stream && successful(response.StatusCode()) {
+		return a.stream(ctx)
+	}
+	if err := resp.ReadRespBody(response, a.conn, a.limits.Body); err != nil {
+		return err
+	}
+	if a.conn.Len() > 0 {
+		return errLeftovers
+	}
+	a.release(!response.ConnectionClose())
+
+	return nil
+}
+
+// release ends the watch on the context and keeps the connection if it is clean.
+func (a *attempt) release(clean bool) {
+	if !a.cancelled() || !clean {
+		_ = a.conn.Close()
+
+		return
+	}
+	_ = a.conn.Release()
+	a.pool.put(a.conn, a.generation, time.Now())
+}
+
+func (a *attempt) fail(ctx context.Context, stage Stage, reason call.Reason, cause error) error {
+	a.cancelled()
+	_ = a.conn.Close()
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		reason = call.ReasonCancelled
+	case ctx.Err() != nil || isTimeout(cause):
+		reason = call.ReasonDeadline
+	}
+
+	return &Fault{Stage: stage, Reason: reason, Cause: cause}
+}
--- /dev/null
+++ b/internal/relay/timing.go
@@ -0,0 +1,45 @@
+package relay
+
+import (
+	"net"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/common/errors"
+	cockroach "github.com/cockroachdb/errors"
+
+	"github.com/pistachiotack/pistachiotack/pkg/call"
+)
+
+// identityLength is what hertz reports for a body that ends with its connection.
+const identityLength = -2
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+
+	return b
+}
+
+func successful(status int) bool {
+	return status >= 200 && status < 300
+}
+
+func isTimeout(err error) bool {
+	var timeout net.Error
+
+	return cockroach.Is(err, errors.ErrTimeout) || (cockroach.As(err, &timeout) && timeout.Timeout())
+}
+
+// waitReason tells a connection that broke from a deadline that passed and from an attempt that was given up.
+func waitReason(err error) call.Reason {
+	var refusal *call.Refusal
+	switch {
+	case cockroach.As(err, &refusal):
+		return refusal.Reason
+	case cockroach.Is(err, errNoTime):
+		return call.ReasonDeadline
+	default:
+		return call.ReasonBroken
+	}
+}
--- /dev/null
+++ b/internal/wire/codec.go
@@ -0,0 +1,113 @@
+package wire
+
+import (
+	"encoding/json"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cockroachdb/errors"
+
+	"github.com/pistachiotack/pistachiotack/pkg/call"
+)
+
+// ErrNoEnvelope is returned when a request from a peer carries no envelope.
+var ErrNoEnvelope = errors.New("request has no envelope")
+
+// SetEnvelope writes the envelope into the request's headers.
+func SetEnvelope(header *protocol.RequestHeader, envelope call.Envelope) error {
+	value, err := json.Marshal(envelope)
+	if err != nil {
+		return errors.Wrap(err, "encode envelope")
+	}
+	header.Set(HeaderEnvelope, string(value))
+
+	return nil
+}
+
+// Envelope reads the envelope of a request, ErrNoEnvelope if there is none.
+func Envelope(header *protocol.RequestHeader) (call.Envelope, error) {
+	var envelope call.Envelope
+	value := header.Peek(HeaderEnvelope)
+	if len(value) == 0 {
+		return envelope, ErrNoEnvelope
+	}
+	if err := json.Unmarshal(value, &envelope); err != nil {
+		return envelope, errors.Wrap(err, "decode envelope")
+	}
+
+	return envelope, nil
+}
+
+// SetFeedback writes the feedback into the answer's headers.
+func SetFeedback(header *protocol.ResponseHeader, feedback call.Feedback) error {
+	value, err := json.Marshal(feedback)
+	if err != nil {
+		return errors.Wrap(err, "encode feedback")
+	}
+	header.Set(HeaderFeedback, string(value))
+
+	return nil
+}
+
+// Feedback reads the feedback of an answer and whether there was any.
+func Feedback(header *protocol.ResponseHeader) (call.Feedback, bool) {
+	var feedback call.Feedback
+	value := header.Peek(HeaderFeedback)
+	if len(value) == 0 {
+		return feedback, false
+	}
+	if err := json.Unmarshal(value, &feedback); err != nil {
+		return feedback, false
+	}
+
+	return feedback, true
+}
+
+// Load reads a backend server's own report of its utilisation and whether there was any.
+func Load(header *protocol.ResponseHeader) (float64, bool) {
+	value := header.Peek(HeaderLoad)
+	if len(value) == 0 {
+		return 0, false
+	}
+	load, err := strconv.ParseFloat(string(value), 64)
+	if err != nil || load < 0 {
+		return 0, false
+	}
+
+	return load, true
+}
+
+// Timeout reads the remaining time that a caller states, zero if it states none that can be read.
+func Timeout(header *protocol.RequestHeader) time.Duration {
+	timeout, err := time.ParseDuration(string(header.Peek(HeaderTimeout)))
+	if err != nil || timeout < 0 {
+		return 0
+	}
+
+	return timeout
+}
+
+// CopyRequestHeaders copies the headers that are passed on.
+func CopyRequestHeaders(to, from *protocol.RequestHeader) {
+	from.VisitAll(func(key, value []byte) {
+		if name := string(key); Forwarded(name) {
+			to.Add(name, string(value))
+		}
+	})
+}
+
+// CopyResponseHeaders copies the headers that are passed on.
+func CopyResponseHeaders(to, from *protocol.ResponseHeader) {
+	from.VisitAll(func(key, value []byte) {
+		name := string(key)
+		if name == "Content-Type" {
+			to.SetContentTypeBytes(value)
+
+			return
+		}
+		if Forwarded(name) && name != "Server" && name != "Date" {
+			to.Add(name, string(value))
+		}
+	})
+}
--- /dev/null
+++ b/internal/wire/header.go
@@ -0,0 +1,48 @@
+package wire
+
+import "strings"
+
+// Headers that callers and backend servers may send or will see; docs/INTERFACE.md describes each.
+const (
+	HeaderService    = "Pistachiotack-Service"
+	HeaderCaller     = "Pistachiotack-Caller"
+	HeaderTimeout    = "Pistachiotack-Timeout"
+	HeaderParent     = "Pistachiotack-Parent"
+	HeaderOperation  = "Pistachiotack-Operation"
+	HeaderOutcome    = "Pistachiotack-Outcome"
+	HeaderLoad       = "Pistachiotack-Load"
+	HeaderDraining   = "Pistachiotack-Draining"
+	HeaderRetryAfter = "Retry-After"
+	// HeaderRetryAfterFine carries the same wait as Retry-After as a Go duration.
+	HeaderRetryAfterFine = "Pistachiotack-Retry-After"
+	HeaderIdempotencyKey = "Idempotency-Key"
+)
+
+// Headers between nodes, never accepted from a caller.
+const (
+	HeaderEnvelope = "Pistachiotack-Envelope"
+	HeaderFeedback = "Pistachiotack-Feedback"
+)
+
+// Prefix starts every header of the product.
+const Prefix = "Pistachiotack-"
+
+var hopByHop = map[string]bool{
+	"Connection":          true,
+	"Keep-Alive":          true,
+	"Proxy-Authenticate":  true,
+	"Proxy-Authorization": true,
+	"Proxy-Connection":    true,
+	"Te":                  true,
+	"Trailer":             true,
+	"Transfer-Encoding":   true,
+	"Upgrade":             true,
+	"Content-Length":      true,
+	"Host":                true,
+	"Expect":              true,
+}
+
+// Forwarded reports whether a header, in its canonical form, is passed on unchanged.
+func Forwarded(name string) bool {
+	return !hopByHop[name] && !strings.HasPrefix(name, Prefix)
+}
--- a/pkg/call/envel.go
+++ b/pkg/call/envel.go
@@ -4,41 +4,41 @@
 
 // Envelope is what a call carries from the entry node to the executing node.
 type Envelope struct {
-	Op      ID
-	Root    Root
-	Parent  ID
-	Service string
-	Kind    string
+	Op      ID     `json:"op,omitempty"`
+	Root    Root   `json:"root,omitempty"`
+	Parent  ID     `json:"parent,omitempty"`
+	Service string `json:"service,omitempty"`
+	Kind    string `json:"kind,omitempty"`
 	// Caller names who sent the root request, for fairness within a class.
-	Caller  string
-	Attempt int
-	Depth   int
+	Caller  string `json:"caller,omitempty"`
+	Attempt int    `json:"attempt,omitempty"`
+	Depth   int    `json:"depth,omitempty"`
 	// Credits is the sub-grant of attempts that the execution may spend.
-	Credits int
-	Rank    Rank
-	Once    bool
+	Credits int  `json:"credits,omitempty"`
+	Rank    Rank `json:"rank,omitempty"`
+	Once    bool `json:"once,omitempty"`
 	// Remaining is the time left when the envelope was sent.
-	Remaining time.Duration
+	Remaining time.Duration `json:"remaining,omitempty"`
 	// Incarnation is the one of the executing node that the sender means, zero for any.
-	Incarnation uint64
+	Incarnation uint64 `json:"incarnation,omitempty"`
 	// Revision is the settings revision under which the entry classified the call.
-	Revision uint64
+	Revision uint64 `json:"revision,omitempty"`
 }
 
 // Feedback is what the executing node sends back with every answer, refusals included.
 type Feedback struct {
-	Outcome     Outcome
-	Reason      Reason
-	Unspent     int
-	Threshold   Rank
-	Inflight    int
-	Queued      int
-	Limit       int
-	State       string
-	Incarnation uint64
-	Revision    uint64
+	Outcome     Outcome `json:"outcome,omitempty"`
+	Reason      Reason  `json:"reason,omitempty"`
+	Unspent     int     `json:"unspent,omitempty"`
+	Threshold   Rank    `json:"threshold,omitempty"`
+	Inflight    int     `json:"inflight,omitempty"`
+	Queued      int     `json:"queued,omitempty"`
+	Limit       int     `json:"limit,omitempty"`
+	State       string  `json:"state,omitempty"`
+	Incarnation uint64  `json:"incarnation,omitempty"`
+	Revision    uint64  `json:"revision,omitempty"`
 	// Digest is the xxhash of a buffered answer's body, zero for none.
-	Digest     uint64
-	RetryAfter time.Duration
-	Final      bool
+	Digest     uint64        `json:"digest,omitempty"`
+	RetryAfter time.Duration `json:"retryAfter,omitempty"`
+	Final      bool          `json:"final,omitempty"`
 }
--- /dev/null
+++ b/pkg/config/load.go
@@ -0,0 +1,102 @@
+package config
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/pelletier/go-toml/v2"
+)
+
+// FileError is a fault in a settings file, with its place.
+type FileError struct {
+	File string
+	// Line counts from 1, and is 0 if the key is missing.
+	Line    int
+	Key     string
+	Problem string
+}
+
+// Error returns file, line, key and what is wrong in one line.
+func (e *FileError) Error() string {
+	place := e.File
+	if e.Line > 0 {
+		place = fmt.Sprintf("%s:%d", e.File, e.Line)
+	}
+	if e.Key == "" {
+		return fmt.Sprintf("%s: %s", place, e.Problem)
+	}
+
+	return fmt.Sprintf("%s: %s: %s", place, e.Key, e.Problem)
+}
+
+// Load reads, completes and checks a node's settings file; faults in it are *FileError.
+func Load(file string) (Node, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return Node{}, errors.Wrap(err, "read settings file")
+	}
+
+	return Parse(file, text)
+}
+
+// Parse is Load for text that has been read already; file only names it in errors.
+func Parse(file string, text []byte) (Node, error) {
+	var node Node
+	decoder := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
+	if err := decoder.Decode(&node); err != nil {
+		return Node{}, decodeFault(file, err)
+	}
+	node = node.WithDefaults()
+	if fault := check(node); fault != nil {
+		fault.File = file
+		fault.Line = lineOf(text, fault.Key)
+
+		return Node{}, fault
+	}
+
+	return node, nil
+}
+
+func decodeFault(file string, err error) error {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) && len(strict.Errors) > 0 {
+		first := strict.Errors[0]
+		line, _ := first.Position()
+		key := strings.Join(first.Key(), ".")
+
+		return &FileError{File: file, Line: line, Key: key, Problem: "unknown key" + suggestion(key)}
+	}
+	var decode *toml.DecodeError
+	if errors.As(err, &decode) {
+		line, _ := decode.Position()
+
+		return &FileError{File: file, Line: line, Key: strings.Join(decode.Key(), "."), Problem: strings.TrimPrefix(decode.Error(), "toml: ")}
+	}
+
+	return &FileError{File: file, Problem: err.Error()}
+}
+
+// lineOf finds the line that sets a dotted key, 0 if none does.
+func lineOf(text []byte, key string) int {
+	table, name := "", key
+	if dot := strings.LastIndexByte(key, '.'); dot >= 0 {
+		table, name = key[:dot], key[dot+1:]
+	}
+	current := ""
+	for i, line := range strings.Split(string(text), "\n") {
+		line = strings.TrimSpace(line)
+		if strings.HasPrefix(line, "[") {
+			current = strings.Trim(line, "[] ")
+
+			continue
+		}
+		if left, _, found := strings.Cut(line, "="); found && current == table && strings.TrimSpace(left) == name {
+			return i + 1
+		}
+	}
+
+	return 0
+}
