--- /dev/null
+++ b/internal/cmds/doc.go
@@ -0,0 +1,2 @@
+// Package cmds holds the commands of the program, one type each.
+package cmds
--- /dev/null
+++ b/internal/cmds/node.go
@@ -0,0 +1,69 @@
+package cmds
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pistachiotack/pistachiotack/internal/node"
+	"github.com/pistachiotack/pistachiotack/pkg/config"
+	"github.com/pistachiotack/pistachiotack/pkg/tree"
+)
+
+// NodeCommand runs a node until it is told to stop.
+type NodeCommand struct {
+	Settings string `help:"Settings file of the node (TOML)." placeholder:"FILE" required:""`
+	Check    bool   `help:"Only check the settings file."`
+}
+
+// Run starts the node; SIGTERM and SIGINT drain it first.
+func (c NodeCommand) Run(env Env) error {
+	settings, err := config.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	snapshot, err := loadTree(settings.Tree)
+	if err != nil || c.Check {
+		return err
+	}
+	log, err := newLogger(env.Out, settings.Log.Level)
+	if err != nil {
+		return err
+	}
+	started, err := node.Start(env.Context, settings, snapshot, log)
+	if err != nil {
+		return err
+	}
+	err = started.Wait(env.Context)
+
+	return errors.CombineErrors(err, started.Stop(context.WithoutCancel(env.Context)))
+}
+
+// loadTree reads the tree that serves until a revision is accepted.
+func loadTree(file string) (*tree.Snapshot, error) {
+	if file == "" {
+		return tree.Empty(), nil
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, errors.Wrap(err, "read settings tree")
+	}
+	parsed, err := tree.Parse(string(text))
+	if err != nil {
+		return nil, errors.Wrapf(err, "parse settings tree %s", file)
+	}
+
+	return tree.NewSnapshot(0, parsed), nil
+}
+
+func newLogger(out io.Writer, level string) (*slog.Logger, error) {
+	var parsed slog.Level
+	if err := parsed.UnmarshalText([]byte(level)); err != nil {
+		return nil, errors.Wrap(err, "parse log level")
+	}
+
+	return slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: parsed})), nil
+}
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	client "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
 	"github.com/uber-go/tally/v4/prometheus"
 
@@ -26,12 +27,16 @@
 
 // New returns a meter whose metrics carry the node's name, data centre and service.
 func New(tags map[string]string) *Meter {
-	reporter := prometheus.NewReporter(prometheus.Options{})
+	registry := client.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry, OnRegisterError: func(error) {}})
 	scope, closer := tally.NewRootScope(tally.ScopeOptions{
 		Prefix:         "pistachiotack",
 		Tags:           tags,
 		CachedReporter: reporter,
 		Separator:      prometheus.DefaultSeparator,
+
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
 	}, reportInterval)
 
 	return &Meter{scope: scope, closer: closer.Close, reporter: reporter, done: make(chan error, 1)}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"github.com/pistachiotack/pistachiotack/internal/exec"
 	"github.com/pistachiotack/pistachiotack/internal/kernel"
 	"github.com/pistachiotack/pistachiotack/internal/meter"
+	"github.com/pistachiotack/pistachiotack/internal/peers"
 	"github.com/pistachiotack/pistachiotack/internal/trace"
 	"github.com/pistachiotack/pistachiotack/pkg/config"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
@@ -29,13 +30,16 @@
 	entry       *entry.Entry
 	exec        *exec.Exec
 	admin       *admin.Admin
+	control     *peers.Service
 	members     *fixedMembers
+	snapshot    *tree.Snapshot
 	started     *kernel.Started
 }
 
 // Start builds and starts a node; it runs until Stop.
-func Start(ctx context.Context, settings config.Node, log *slog.Logger) (*Node, error) {
-	n := &Node{settings: settings, incarnation: uint64(time.Now().UnixNano()), log: log}
+func Start(ctx context.Context, settings config.Node, snapshot *tree.Snapshot, log *slog.Logger) (*Node, error) {
+	ctx = context.WithoutCancel(ctx)
+	n := &Node{settings: settings, incarnation: uint64(time.Now().UnixNano()), log: log, snapshot: snapshot}
 	k := kernel.New(log)
 	for _, service := range n.services() {
 		if err := k.Register(service); err != nil {
@@ -85,6 +89,7 @@
 		Service:     n.settings.Service,
 		State:       member.StateServing,
 		Peers:       n.exec.Address(),
+		Control:     n.control.Address(),
 		Slots:       n.settings.Backend.Slots,
 		Connections: n.settings.Backend.Connections,
 	}
@@ -100,6 +105,7 @@
 	return Addresses{
 		Callers:   n.entry.CallersAddress(),
 		Peers:     n.exec.Address(),
+		Control:   n.control.Address(),
 		Backend:   n.entry.BackendAddress(),
 		Operators: n.admin.Address(),
 	}
@@ -108,6 +114,7 @@
 // services returns the services in the order in which they start.
 func (n *Node) services() []kernel.Service {
 	s := n.settings
+	n.control = peers.New(peers.Options{Listen: s.Listen.Control, Log: n.log})
 	n.members = newFixedMembers(fixedEntries(s.Fleet.Targets))
 	n.exec = exec.New(exec.Options{
 		Listen:      s.Listen.Peers,
@@ -130,7 +137,8 @@
 	return []kernel.Service{
 		trace.New(n.log, s.Name, s.Log.Buffer, s.Log.Decisions),
 		meter.New(map[string]string{"node": s.Name, "data_centre": s.DataCentre, "target_service": s.Service}),
-		newFixedSettings(tree.Empty()),
+		newFixedSettings(n.snapshot),
+		n.control,
 		n.members,
 		n.exec,
 		n.entry,
--- a/pkg/config/node.go
+++ b/pkg/config/node.go
@@ -13,6 +13,8 @@
 	Platform   Platform `toml:"platform"`
 	Fleet      Fleet    `toml:"fleet"`
 	Log        Log      `toml:"log"`
+	// Tree is a file with the settings tree that serves until a revision is accepted, empty for the defaults.
+	Tree string `toml:"tree"`
 	// Policy selects the decisions, "adaptive" or for comparison "baseline".
 	Policy string `toml:"policy"`
 }
