--- a/internal/plat/serve.go
+++ b/internal/plat/serve.go
@@ -115,8 +115,6 @@
 func (cutter) Flush() error { return nil }
 
 // Finalize fails, upon which the server closes the connection.
-//
-//nolint:misspell // The library's interface has this name.
 func (cutter) Finalize() error { return errCut }
 
 func (p *Platform) get(space map[string]Row) app.HandlerFunc {
