Add choice of target and retry decision as pure packages

Routing counts what the entry itself sees first, ages reports, makes a failing target cost more than a full one and ejects only outliers within a share. Retries have a budget that cannot be passed, and once-kinds are never sent again on an unknown outcome.

--- /dev/null
+++ b/pkg/retry/decide_test.go
@@ -0,0 +1,129 @@
+package retry_test
+
+import (
+	"flag"
+	"math"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/pistachiotack/pistachiotack/pkg/call"
+	"github.com/pistachiotack/pistachiotack/pkg/retry"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+var settings = retry.Settings{Ratio: 0.1, Backoff: 20 * time.Millisecond}
+
+func retrier() *retry.Retrier {
+	r := retry.New(rand.New(rand.NewPCG(1, 2)))
+	r.First(settings)
+
+	return r
+}
+
+func failure(change func(*retry.Failure)) retry.Failure {
+	f := retry.Failure{
+		Attempt: 1, Outcome: call.OutcomeUnknown, Reason: call.ReasonBroken, Idempotent: true,
+		Credits: 3, Left: time.Second, Others: 2,
+	}
+	change(&f)
+
+	return f
+}
+
+func TestDecide(t *testing.T) {
+	for name, test := range map[string]struct {
+		change func(*retry.Failure)
+		again  bool
+		reason call.Reason
+	}{
+		"read that broke":          {func(*retry.Failure) {}, true, retry.ReasonAgain},
+		"once on unknown":          {func(f *retry.Failure) { f.Idempotent = false }, false, retry.ReasonOnce},
+		"once that did not run":    {func(f *retry.Failure) { f.Idempotent = false; f.Outcome = call.OutcomeNotRun }, true, retry.ReasonAgain},
+		"decided below":            {func(f *retry.Failure) { f.Final = true }, false, retry.ReasonFinal},
+		"no credits":               {func(f *retry.Failure) { f.Credits = 0 }, false, call.ReasonNoCredits},
+		"no time":                  {func(f *retry.Failure) { f.Left = 0 }, false, retry.ReasonTooLate},
+		"too little time":          {func(f *retry.Failure) { f.Estimate = 3 * time.Second }, false, retry.ReasonTooLate},
+		"draining":                 {func(f *retry.Failure) { f.Outcome = call.OutcomeNotRun; f.Reason = call.ReasonDraining }, true, retry.ReasonMove},
+		"below threshold":          {func(f *retry.Failure) { f.Outcome = call.OutcomeNotRun; f.Reason = call.ReasonThreshold }, false, retry.ReasonNoUse},
+		"told to come back late":   {func(f *retry.Failure) { f.RetryAfter = 2 * time.Second; f.Others = 0 }, false, retry.ReasonLater},
+		"hopeless":                 {func(f *retry.Failure) { f.Reason = call.ReasonHopeless }, false, retry.ReasonNoUse},
+		"caller that hung up":      {func(f *retry.Failure) { f.Reason = call.ReasonCancelled }, false, retry.ReasonNoUse},
+		"full queue, other target": {func(f *retry.Failure) { f.Outcome = call.OutcomeNotRun; f.Reason = call.ReasonQueueFull }, true, retry.ReasonAgain},
+	} {
+		t.Run(name, func(t *testing.T) {
+			d := retrier().Decide(settings, failure(test.change))
+			require.Equal(t, test.again, d.Again)
+			require.Equal(t, test.reason, d.Reason)
+		})
+	}
+}
+
+func TestBackoffGrowsWithJitter(t *testing.T) {
+	r := retrier()
+	seen := map[time.Duration]bool{}
+	for attempt := 1; attempt <= 5; attempt++ {
+		for range 20 {
+			r.First(retry.Settings{Ratio: 1})
+			d := r.Decide(settings, failure(func(f *retry.Failure) { f.Attempt = attempt }))
+			mean := settings.Backoff << (attempt - 1)
+			require.InDelta(t, mean, d.After, 0.76*float64(mean))
+			seen[d.After] = true
+		}
+	}
+	require.Greater(t, len(seen), 90)
+}
+
+func TestRatioIsNeverPassed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ratio := rapid.Float64Range(0, 0.5).Draw(t, "ratio")
+		s := retry.Settings{Ratio: ratio, Backoff: time.Millisecond}
+		r := retry.New(rand.New(rand.NewPCG(1, 2)))
+		firsts, again := 0, 0
+		for _, first := range rapid.SliceOfN(rapid.Bool(), 1, 400).Draw(t, "events") {
+			if first {
+				r.First(s)
+				firsts++
+			} else if r.Decide(s, failure(func(*retry.Failure) {})).Again {
+				again++
+			}
+			require.LessOrEqual(t, float64(again), math.Ceil(ratio*float64(firsts)+1e-9))
+		}
+		counted, retries := r.Spent()
+		require.Equal(t, firsts, counted)
+		require.Equal(t, again, retries)
+	})
+}
+
+func TestOnceIsNeverResentOnUnknown(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := retrier().Decide(settings, retry.Failure{
+			Attempt: rapid.IntRange(1, 9).Draw(t, "attempt"),
+			Outcome: rapid.SampledFrom([]call.Outcome{call.OutcomeUnknown, call.OutcomeRan, ""}).Draw(t, "outcome"),
+			Reason: rapid.SampledFrom([]call.Reason{
+				call.ReasonDraining, call.ReasonConnect, call.ReasonBroken, call.ReasonSilent, call.ReasonBackendFault,
+			}).Draw(t, "reason"),
+			Credits: 5, Left: time.Minute, Others: rapid.IntRange(0, 3).Draw(t, "others"),
+		})
+		require.False(t, d.Again)
+	})
+}
+
+func BenchmarkDecide(b *testing.B) {
+	r := retrier()
+	f := failure(func(*retry.Failure) {})
+	for range b.N {
+		r.First(settings)
+		r.Decide(settings, f)
+	}
+}
--- /dev/null
+++ b/pkg/route/target.go
@@ -0,0 +1,183 @@
+package route
+
+import (
+	"math"
+	"time"
+
+	"github.com/pistachiotack/pistachiotack/pkg/call"
+	"github.com/pistachiotack/pistachiotack/pkg/member"
+)
+
+const (
+	reportAge     = time.Second
+	thresholdHold = 250 * time.Millisecond
+	thresholdFade = time.Second
+	failureGain   = 0.2
+	failureHalf   = time.Second
+	failureCost   = 2.0
+	weightFirst   = 0.1
+	unknownSlots  = 64
+	ejectLongest  = 30 * time.Second
+	// outlier is how much more a target must fail than the others to be ejected.
+	outlier = 2.0
+)
+
+// Verdict is what the end of an attempt says about its target.
+type Verdict uint8
+
+// Verdicts on a target.
+const (
+	// VerdictOK is a whole answer.
+	VerdictOK Verdict = iota
+	// VerdictFault is an error of the target, or a connection to it that could not be made.
+	VerdictFault
+	// VerdictBusy is a refusal under load.
+	VerdictBusy
+	// VerdictLeaving is a refusal by a target that drains or has been replaced.
+	VerdictLeaving
+	// VerdictNeutral says nothing about the target: the caller left, or the connection went silent.
+	VerdictNeutral
+)
+
+// Judge returns the verdict for an attempt's outcome and reason; a silent connection does not blame the target.
+func Judge(outcome call.Outcome, reason call.Reason) Verdict {
+	switch reason {
+	case call.ReasonConnect, call.ReasonBroken, call.ReasonTorn, call.ReasonBackendFault:
+		return VerdictFault
+	case call.ReasonDraining, call.ReasonWrongIncarnation:
+		return VerdictLeaving
+	case call.ReasonOverload, call.ReasonThreshold, call.ReasonQueueFull, call.ReasonQueueTimeout,
+		call.ReasonHopeless, call.ReasonBufferFull, call.ReasonFairShare, call.ReasonBackendShed, call.ReasonWarming:
+		return VerdictBusy
+	}
+	if outcome == call.OutcomeRan {
+		return VerdictOK
+	}
+
+	return VerdictNeutral
+}
+
+// Sample is one finished attempt.
+type Sample struct {
+	Verdict Verdict
+	// Feedback is what rode back on the answer, nil for none.
+	Feedback *call.Feedback
+}
+
+// report is the load that a target told of itself.
+type report struct {
+	at        time.Time
+	load      int
+	limit     int
+	threshold call.Rank
+	draining  bool
+}
+
+// target is what this entry knows of one executing node.
+type target struct {
+	entry member.Entry
+	near  bool
+	// warmFrom is when the ramp began, zero for a warm target.
+	warmFrom time.Time
+
+	inflight  int
+	report    report
+	failure   float64
+	failureAt time.Time
+	samples   int
+
+	consecutive  int
+	ejectedUntil time.Time
+	ejections    int
+}
+
+// fail returns the share of failures, halved for each second without news.
+func (t *target) fail(now time.Time) float64 {
+	if t.failure == 0 {
+		return 0
+	}
+
+	return t.failure * math.Exp2(-float64(now.Sub(t.failureAt))/float64(failureHalf))
+}
+
+func (t *target) ejected(now time.Time) bool {
+	return now.Before(t.ejectedUntil)
+}
+
+// weight returns how much of an even part the target may take yet.
+func (t *target) weight(now time.Time, slowStart time.Duration) float64 {
+	if t.entry.State == member.StateWarming {
+		return weightFirst
+	}
+	if t.warmFrom.IsZero() || slowStart <= 0 {
+		return 1
+	}
+	ramp := float64(now.Sub(t.warmFrom)) / float64(slowStart)
+
+	return math.Min(math.Max(ramp, weightFirst), 1)
+}
+
+// used returns the utilisation as far as it is known: own calls first, and what the target told lately.
+func (t *target) used(now time.Time) float64 {
+	limit := t.entry.Slots
+	load := float64(t.inflight)
+	if fresh := 1 - float64(now.Sub(t.report.at))/float64(reportAge); fresh > 0 {
+		load = math.Max(load, fresh*float64(t.report.load))
+		limit = t.report.limit
+	}
+	if limit <= 0 {
+		limit = unknownSlots
+	}
+
+	return (load + 1) / float64(limit)
+}
+
+// cost compares targets: a failing one counts as more than full, so that failing fast does not look idle.
+func (t *target) cost(now time.Time, slowStart time.Duration) float64 {
+	return t.used(now)/t.weight(now, slowStart) + failureCost*t.fail(now)
+}
+
+// threshold returns the lowest rank that the target wants, which fades without news.
+func (t *target) threshold(now time.Time) call.Rank {
+	age := now.Sub(t.report.at) - thresholdHold
+	if t.report.threshold == 0 || age >= thresholdFade {
+		return 0
+	}
+	if age <= 0 {
+		return t.report.threshold
+	}
+
+	return call.Rank(float64(t.report.threshold) * (1 - float64(age)/float64(thresholdFade)))
+}
+
+// note takes a finished attempt.
+func (t *target) note(now time.Time, s Sample) {
+	if s.Feedback != nil {
+		t.report = report{
+			at:        now,
+			load:      s.Feedback.Inflight + s.Feedback.Queued,
+			limit:     s.Feedback.Limit,
+			threshold: s.Feedback.Threshold,
+			draining:  s.Feedback.State == string(member.StateDraining),
+		}
+	}
+	switch s.Verdict {
+	case VerdictOK:
+		t.outcome(now, 0)
+		t.consecutive = 0
+	case VerdictFault:
+		t.outcome(now, 1)
+		t.consecutive++
+	case VerdictLeaving:
+		t.report.draining = true
+		t.report.at = now
+	case VerdictBusy, VerdictNeutral:
+	}
+}
+
+func (t *target) outcome(now time.Time, failed float64) {
+	failure := t.fail(now)
+	t.failure = failure + failureGain*(failed-failure)
+	t.failureAt = now
+	t.samples++
+}
