--- a/pkg/call/outcome.go
+++ b/pkg/call/outcome.go
@@ -52,6 +52,7 @@
 	ReasonNoParent         Reason = "noParent"
 	ReasonNeedsTicket      Reason = "needsTicket"
 	ReasonTicketExpired    Reason = "ticketExpired"
+	ReasonStale            Reason = "staleAttempt"
 	ReasonKeyClaimed       Reason = "keyClaimed"
 	ReasonTableAway        Reason = "tableAway"
 )
--- /dev/null
+++ b/pkg/fence/fence.go
@@ -0,0 +1,248 @@
+package fence
+
+import (
+	"time"
+
+	"github.com/pistachiotack/pistachiotack/pkg/call"
+)
+
+// Limits bound what a fence remembers.
+type Limits struct {
+	// AttemptMemory is how long an attempt is remembered; one issued earlier is refused.
+	AttemptMemory time.Duration
+	// AnswerMemory is how long a once operation is remembered; one opened earlier is refused.
+	AnswerMemory time.Duration
+	// Records is the most attempts and once operations remembered.
+	Records int
+	// AnswerBytes is the most bytes of remembered answers.
+	AnswerBytes int64
+}
+
+// DefaultLimits returns limits that keep a fence under ten megabytes.
+func DefaultLimits() Limits {
+	return Limits{
+		AttemptMemory: 5 * time.Second,
+		AnswerMemory:  10 * time.Minute,
+		Records:       50_000,
+		AnswerBytes:   4 << 20,
+	}
+}
+
+const (
+	bucketsPerSpan = 10
+	// fencedShare is how many times the ordinary records the fenced ones may fill.
+	fencedShare = 2
+)
+
+// Fence holds the attempts of one node incarnation; its owner serialises the calls.
+type Fence[A any] struct {
+	incarnation uint64
+	limits      Limits
+	now         time.Time
+	live        map[key]*record
+	past        *memory[key, State]
+	operations  *memory[call.ID, *operation[A]]
+	bytes       int64
+}
+
+type record struct {
+	attempt Attempt
+	state   State
+}
+
+// operation is the state of a once operation over all its attempts.
+type operation[A any] struct {
+	owner  int
+	state  State
+	answer *A
+	size   int64
+}
+
+// New returns the fence of a node incarnation that has seen nothing yet.
+func New[A any](incarnation uint64, limits Limits) *Fence[A] {
+	return &Fence[A]{
+		incarnation: incarnation,
+		limits:      limits,
+		live:        map[key]*record{},
+		past:        newMemory[key, State](limits.AttemptMemory, limits.AttemptMemory/bucketsPerSpan),
+		operations:  newMemory[call.ID, *operation[A]](limits.AnswerMemory, limits.AnswerMemory/bucketsPerSpan),
+	}
+}
+
+// Arrive admits an attempt to the queue, or says what is known of it instead.
+func (f *Fence[A]) Arrive(now time.Time, a Attempt) Verdict[A] {
+	f.advance(now)
+	if a.Incarnation == 0 && !a.Once {
+		a.Incarnation = f.incarnation
+	}
+	if v, settled := f.settled(a); settled {
+		return v
+	}
+	if f.full() {
+		return f.settle(a, call.ReasonBufferFull)
+	}
+	if a.Once {
+		f.own(a)
+	}
+	r := &record{attempt: a}
+	r.state.fire(eventArrive)
+	f.live[a.key()] = r
+
+	return Verdict[A]{State: r.state, Outcome: call.OutcomeUnknown, Reason: call.ReasonOK}
+}
+
+// settled gives the verdict on an attempt that cannot be admitted any more.
+func (f *Fence[A]) settled(a Attempt) (Verdict[A], bool) {
+	if a.Incarnation != f.incarnation {
+		return refused[A](StateUnseen, call.OutcomeUnknown, call.ReasonWrongIncarnation), true
+	}
+	if v, known := f.operationVerdict(a); known {
+		return v, true
+	}
+	if r, alive := f.live[a.key()]; alive {
+		return verdictOf[A](r.state, call.ReasonDuplicate, nil), true
+	}
+	if !f.past.covers(f.now, a.Issued) {
+		return refused[A](StateUnseen, call.OutcomeUnknown, call.ReasonStale), true
+	}
+	if state, seen := f.past.get(a.Issued, a.key()); seen {
+		return verdictOf[A](state, call.ReasonDuplicate, nil), true
+	}
+	if a.Once && !f.operations.covers(f.now, a.Opened) {
+		return refused[A](StateUnseen, call.OutcomeUnknown, call.ReasonTicketExpired), true
+	}
+
+	return Verdict[A]{}, false
+}
+
+// operationVerdict tells of a once operation that another attempt has queued, started or finished.
+func (f *Fence[A]) operationVerdict(a Attempt) (Verdict[A], bool) {
+	if !a.Once {
+		return Verdict[A]{}, false
+	}
+	o, known := f.operations.get(a.Opened, a.Op)
+	if !known || o.state == StateFenced {
+		return Verdict[A]{}, false
+	}
+
+	return verdictOf(o.state, call.ReasonDuplicate, o.answer), true
+}
+
+func (f *Fence[A]) full() bool {
+	records := len(f.live) + f.past.size + f.operations.size
+
+	return records >= f.limits.Records || f.bytes >= f.limits.AnswerBytes
+}
+
+// settle fences an attempt that will not run; without room to remember that, nothing is promised.
+func (f *Fence[A]) settle(a Attempt, reason call.Reason) Verdict[A] {
+	if f.past.size >= fencedShare*f.limits.Records {
+		return refused[A](StateUnseen, call.OutcomeUnknown, reason)
+	}
+	state := StateUnseen
+	state.fire(eventFence)
+	f.past.put(a.Issued, a.key(), state)
+
+	return refused[A](state, call.OutcomeNotRun, reason)
+}
+
+func (f *Fence[A]) own(a Attempt) {
+	o := &operation[A]{owner: a.Number}
+	o.state.fire(eventArrive)
+	f.operations.put(a.Opened, a.Op, o)
+}
+
+// Start moves a queued attempt to running, false if it was fenced meanwhile and must not run.
+func (f *Fence[A]) Start(a Attempt) bool {
+	r, alive := f.live[a.key()]
+	if !alive || !r.state.fire(eventStart) {
+		return false
+	}
+	f.follow(r, eventStart)
+
+	return true
+}
+
+// Refuse settles an admitted attempt that certainly did not reach the backend server.
+func (f *Fence[A]) Refuse(a Attempt) {
+	r, alive := f.live[a.key()]
+	if !alive || !r.state.fire(eventRefuse) {
+		return
+	}
+	f.follow(r, eventRefuse)
+	f.bury(r)
+}
+
+// Finish settles a running attempt and remembers the answer of a once operation, size in bytes.
+func (f *Fence[A]) Finish(a Attempt, answer *A, size int64) {
+	r, alive := f.live[a.key()]
+	if !alive || !r.state.fire(eventFinish) {
+		return
+	}
+	if o := f.follow(r, eventFinish); o != nil && answer != nil {
+		o.answer = answer
+		o.size = size
+		f.bytes += size
+	}
+	f.bury(r)
+}
+
+// follow moves the once operation along with the attempt that owns it.
+func (f *Fence[A]) follow(r *record, e event) *operation[A] {
+	if !r.attempt.Once {
+		return nil
+	}
+	o, known := f.operations.get(r.attempt.Opened, r.attempt.Op)
+	if !known || o.owner != r.attempt.Number {
+		return nil
+	}
+	o.state.fire(e)
+
+	return o
+}
+
+func (f *Fence[A]) bury(r *record) {
+	delete(f.live, r.attempt.key())
+	if f.past.covers(f.now, r.attempt.Issued) {
+		f.past.put(r.attempt.Issued, r.attempt.key(), r.state)
+	}
+}
+
+// Resolve says what became of an attempt, and fences it if it was not seen.
+func (f *Fence[A]) Resolve(now time.Time, a Attempt) Verdict[A] {
+	f.advance(now)
+	if v, settled := f.settled(a); settled {
+		return v
+	}
+
+	return f.settle(a, call.ReasonFenced)
+}
+
+// Cancel fences an attempt that has not started; one that runs is left to its owner.
+func (f *Fence[A]) Cancel(now time.Time, a Attempt) Verdict[A] {
+	if r, alive := f.live[a.key()]; alive && r.state.fire(eventFence) {
+		f.follow(r, eventFence)
+		f.bury(r)
+	}
+
+	return f.Resolve(now, a)
+}
+
+// advance moves the clock, never backwards, and forgets what is old.
+func (f *Fence[A]) advance(now time.Time) {
+	if !now.After(f.now) {
+		return
+	}
+	turned := f.past.bucket(now) != f.past.bucket(f.now)
+	f.now = now
+	if !turned {
+		return
+	}
+	f.past.expire(now, func(key, State) {})
+	f.operations.expire(now, f.forget)
+}
+
+// forget drops a once operation, of which later attempts are refused for their age.
+func (f *Fence[A]) forget(_ call.ID, o *operation[A]) {
+	f.bytes -= o.size
+}
--- a/pkg/tree/policy.go
+++ b/pkg/tree/policy.go
@@ -21,8 +21,10 @@
 	// Progress is how long an attempt may stay silent before its state is asked for.
 	Progress time.Duration
 
-	// Attempts is the total for one root request, over all hops.
+	// Attempts is the total for one root request over all hops, first attempts included.
 	Attempts int
+	// Retries is how many of the attempts may repeat an operation.
+	Retries int
 	// Depth is the deepest chain of hops allowed.
 	Depth int
 	// RetryRatio bounds retries as a share of first attempts for each entry and service.
@@ -90,7 +92,8 @@
 		Idempotent:    false,
 		Deadline:      2 * time.Second,
 		Progress:      500 * time.Millisecond,
-		Attempts:      6,
+		Attempts:      64,
+		Retries:       6,
 		Depth:         27,
 		RetryRatio:    0.1,
 		RetryBackoff:  20 * time.Millisecond,
