Let the tree state retries beside attempts

Cause: attempts now counts the first attempts of the whole graph, so its rail of 64 is too low for wide graphs, and retries had no key.

--- a/pkg/tree/key.go
+++ b/pkg/tree/key.go
@@ -99,7 +99,8 @@
 
 	durationKey("deadline", 10*time.Millisecond, time.Hour, anyLevel, func(p *Policy) *time.Duration { return &p.Deadline }, "longest time of a root request"),
 	durationKey("progress", 20*time.Millisecond, time.Minute, anyLevel, func(p *Policy) *time.Duration { return &p.Progress }, "silence after which an attempt's state is asked for"),
-	intKey("attempts", 1, 64, anyLevel, func(p *Policy) *int { return &p.Attempts }, "attempts of one root request over all hops"),
+	intKey("attempts", 1, 512, anyLevel, func(p *Policy) *int { return &p.Attempts }, "attempts of one root request over all hops, the first ones included"),
+	intKey("retries", 0, 32, anyLevel, func(p *Policy) *int { return &p.Retries }, "attempts of one root request that may repeat an operation"),
 	intKey("depth", 1, 64, anyLevel, func(p *Policy) *int { return &p.Depth }, "deepest chain of hops"),
 	ratioKey("retryRatio", 0, 0.5, anyLevel, func(p *Policy) *float64 { return &p.RetryRatio }, "retries as a share of first attempts"),
 	durationKey("retryBackoff", time.Millisecond, 5*time.Second, anyLevel, func(p *Policy) *time.Duration { return &p.RetryBackoff }, "mean wait before the first retry"),
