--- /dev/null
+++ b/pkg/trial/judge.go
@@ -0,0 +1,151 @@
+package trial
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/pistachiotack/pistachiotack/pkg/call"
+)
+
+// Count is a number of important requests and how many of them were answered whole and in time.
+type Count struct {
+	Offered uint64 `json:"offered"`
+	Good    uint64 `json:"good"`
+}
+
+// Plus returns the sum of both counts.
+func (c Count) Plus(other Count) Count {
+	return Count{Offered: c.Offered + other.Offered, Good: c.Good + other.Good}
+}
+
+// Since returns what came on top of an earlier count, the whole count if the counter began anew.
+func (c Count) Since(earlier Count) Count {
+	if c.Offered < earlier.Offered || c.Good < earlier.Good {
+		return c
+	}
+
+	return Count{Offered: c.Offered - earlier.Offered, Good: c.Good - earlier.Good}
+}
+
+// Share returns the part that was good, one if nothing was offered.
+func (c Count) Share() float64 {
+	if c.Offered == 0 {
+		return 1
+	}
+
+	return float64(c.Good) / float64(c.Offered)
+}
+
+// View is what one kind of place saw, entries or executing nodes, on nodes with and without the proposal.
+type View struct {
+	Name    string
+	Trial   Count
+	Control Count
+}
+
+// Guard is what a proposal has to keep.
+type Guard struct {
+	// Goodput is the least share of important requests.
+	Goodput float64
+	// Time is how long the trial lasts.
+	Time time.Duration
+	// Untested accepts a proposal for which no important requests were seen.
+	Untested bool
+}
+
+// Action is what a verdict asks for.
+type Action string
+
+// Actions of a verdict.
+const (
+	ActionWait   Action = "wait"
+	ActionAccept Action = "accept"
+	ActionRefuse Action = "refuse"
+)
+
+// Verdict is the judgement on a trial so far.
+type Verdict struct {
+	Action Action
+	Reason call.Reason
+	Detail string
+}
+
+const (
+	// minEvidence is the least number of important requests that a judgement rests on.
+	minEvidence = 20
+	// patience is how often the trial's time passes before a lack of requests decides it.
+	patience = 2
+	// worseShare and worseDeviations say by how much the trial must fall behind the control.
+	worseShare      = 0.01
+	worseDeviations = 2.5
+)
+
+// Judge weighs what was seen since the trial began.
+func Judge(guard Guard, elapsed time.Duration, views []View) Verdict {
+	seen, outside := false, ""
+	for _, view := range views {
+		if view.Trial.Offered < minEvidence {
+			continue
+		}
+		seen = true
+		if view.Trial.Share() >= guard.Goodput {
+			continue
+		}
+		if view.Control.Offered < minEvidence || view.worse() {
+			return Verdict{Action: ActionRefuse, Reason: ReasonGuardBroken, Detail: view.describe(guard)}
+		}
+		outside = view.describe(guard)
+	}
+	switch {
+	case elapsed < guard.Time:
+		return Verdict{Action: ActionWait}
+	case !seen:
+		return judgeUnseen(guard, elapsed, views)
+	case outside != "":
+		return Verdict{Action: ActionAccept, Reason: ReasonOtherOverload, Detail: outside}
+	default:
+		return Verdict{Action: ActionAccept, Reason: ReasonGuardHeld, Detail: describeAll(guard, views)}
+	}
+}
+
+func judgeUnseen(guard Guard, elapsed time.Duration, views []View) Verdict {
+	detail := describeAll(guard, views)
+	switch {
+	case guard.Untested:
+		return Verdict{Action: ActionAccept, Reason: ReasonUntested, Detail: detail}
+	case elapsed < patience*guard.Time:
+		return Verdict{Action: ActionWait}
+	default:
+		return Verdict{Action: ActionRefuse, Reason: ReasonNoTraffic, Detail: detail}
+	}
+}
+
+// worse reports whether the trial fell behind the control by more than chance explains.
+func (v View) worse() bool {
+	gap := v.Control.Share() - v.Trial.Share()
+	if gap < worseShare {
+		return false
+	}
+	pooled := v.Control.Plus(v.Trial).Share()
+	deviation := math.Sqrt(pooled * (1 - pooled) * (1/float64(v.Trial.Offered) + 1/float64(v.Control.Offered)))
+
+	return gap > worseDeviations*deviation
+}
+
+func (v View) describe(guard Guard) string {
+	return fmt.Sprintf("%s: on trial %d of %d important requests good (%.1f%%), elsewhere %d of %d (%.1f%%), guard %.1f%%",
+		v.Name, v.Trial.Good, v.Trial.Offered, 100*v.Trial.Share(), v.Control.Good, v.Control.Offered, 100*v.Control.Share(), 100*guard.Goodput)
+}
+
+func describeAll(guard Guard, views []View) string {
+	text := ""
+	for i, view := range views {
+		if i > 0 {
+			text += "; "
+		}
+		text += view.describe(guard)
+	}
+
+	return text
+}
--- /dev/null
+++ b/pkg/trial/trial_test.go
@@ -0,0 +1,121 @@
+package trial_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/pistachiotack/pistachiotack/pkg/call"
+	"github.com/pistachiotack/pistachiotack/pkg/trial"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+var began = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func count(offered, good uint64) trial.Count { return trial.Count{Offered: offered, Good: good} }
+
+func TestJudge(t *testing.T) {
+	const second = time.Second
+	for name, tt := range map[string]struct {
+		elapsed        time.Duration
+		trial, control trial.Count
+		untested       bool
+		action         trial.Action
+		reason         call.Reason
+	}{
+		"good but early":           {4 * second, count(100, 100), count(400, 400), false, trial.ActionWait, ""},
+		"good":                     {5 * second, count(100, 99), count(400, 400), false, trial.ActionAccept, trial.ReasonGuardHeld},
+		"bad at once":              {1 * second, count(100, 50), count(400, 400), false, trial.ActionRefuse, trial.ReasonGuardBroken},
+		"bad without control":      {1 * second, count(100, 50), count(0, 0), false, trial.ActionRefuse, trial.ReasonGuardBroken},
+		"too little to tell":       {1 * second, count(5, 0), count(400, 400), false, trial.ActionWait, ""},
+		"overload all over":        {5 * second, count(100, 50), count(400, 200), false, trial.ActionAccept, trial.ReasonOtherOverload},
+		"bad in an overload":       {5 * second, count(200, 50), count(400, 200), false, trial.ActionRefuse, trial.ReasonGuardBroken},
+		"better in an overload":    {5 * second, count(100, 80), count(400, 200), false, trial.ActionAccept, trial.ReasonOtherOverload},
+		"no traffic, waits longer": {9 * second, count(3, 3), count(400, 400), false, trial.ActionWait, ""},
+		"no traffic":               {10 * second, count(3, 3), count(400, 400), false, trial.ActionRefuse, trial.ReasonNoTraffic},
+		"no traffic, told to":      {5 * second, count(0, 0), count(0, 0), true, trial.ActionAccept, trial.ReasonUntested},
+		"told to, yet bad":         {5 * second, count(100, 50), count(400, 400), true, trial.ActionRefuse, trial.ReasonGuardBroken},
+	} {
+		t.Run(name, func(t *testing.T) {
+			guard := trial.Guard{Goodput: 0.95, Time: 5 * second, Untested: tt.untested}
+			good := trial.View{Name: "entries", Trial: tt.trial, Control: tt.control}
+			other := trial.View{Name: "executing nodes"}
+			for _, views := range [][]trial.View{{good, other}, {other, good}} {
+				verdict := trial.Judge(guard, tt.elapsed, views)
+				require.Equal(t, tt.action, verdict.Action, verdict.Detail)
+				require.Equal(t, tt.reason, verdict.Reason)
+			}
+		})
+	}
+}
+
+// TestJudgeProperty: a proposal is never accepted whose nodes do clearly worse than the guard and than the rest.
+func TestJudgeProperty(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		offered := rapid.Uint64Range(100, 5000).Draw(rt, "offered")
+		control := rapid.Uint64Range(90, 100).Draw(rt, "control")
+		share := rapid.Uint64Range(0, 60).Draw(rt, "share")
+		elapsed := time.Duration(rapid.Int64Range(0, 30).Draw(rt, "elapsed")) * time.Second
+		views := []trial.View{{Trial: count(offered, offered*share/100), Control: count(1000, 10*control)}}
+		verdict := trial.Judge(trial.Guard{Goodput: 0.95, Time: 5 * time.Second, Untested: true}, elapsed, views)
+		require.Equal(rt, trial.ActionRefuse, verdict.Action)
+	})
+}
+
+// TestLifeProperty: whatever events come in whatever order, a decided proposal stays as it is, only an overdue one expires,
+// and only a trial in time is accepted.
+func TestLifeProperty(t *testing.T) {
+	triggers := []trial.Trigger{trial.TriggerBegin, trial.TriggerAccept, trial.TriggerRefuse, trial.TriggerExpire}
+	rapid.Check(t, func(rt *rapid.T) {
+		p := trial.New("edit", "author", "node", 3, began, began.Add(10*time.Second))
+		for range rapid.IntRange(1, 8).Draw(rt, "events") {
+			event := trial.Event{
+				Trigger:  rapid.SampledFrom(triggers).Draw(rt, "trigger"),
+				Now:      began.Add(time.Duration(rapid.Int64Range(0, 20).Draw(rt, "now")) * time.Second),
+				Reason:   trial.ReasonGuardHeld,
+				Revision: rapid.Uint64Range(0, 2).Draw(rt, "revision"),
+			}
+			next, err := p.Fire(event)
+			late := !event.Now.Before(p.Until)
+			switch {
+			case err != nil:
+				require.ErrorIs(rt, err, trial.ErrForbidden)
+				require.Equal(rt, p, next)
+			case next.State == trial.StateAccepted:
+				require.Equal(rt, trial.StateOnTrial, p.State)
+				require.False(rt, late)
+				require.Equal(rt, event.Revision, next.Revision)
+				require.NotZero(rt, next.Revision)
+			case next.State == trial.StateExpired:
+				require.True(rt, late)
+			}
+			if p.State.Final() {
+				require.Error(rt, err)
+			}
+			if event.Trigger == trial.TriggerRefuse && !p.State.Final() {
+				require.Equal(rt, trial.StateRefused, next.State)
+			}
+			if event.Trigger == trial.TriggerExpire && late && !p.State.Final() {
+				require.Equal(rt, trial.StateExpired, next.State)
+			}
+			p = next
+		}
+	})
+}
+
+func TestCountSinceRestart(t *testing.T) {
+	require.Equal(t, count(4, 3), count(10, 8).Since(count(6, 5)))
+	require.Equal(t, count(2, 2), count(2, 2).Since(count(6, 5)))
+	require.InDelta(t, 1.0, count(0, 0).Share(), 0)
+}
