--- a/internal/fake/behav.go
+++ b/internal/fake/behav.go
@@ -1,6 +1,7 @@
 package fake
 
 import (
+	"strings"
 	"time"
 
 	"github.com/pistachiotack/pistachiotack/pkg/config"
@@ -35,8 +36,9 @@
 // Route is one kind of request that a server answers.
 type Route struct {
 	Method string
-	// Prefix matches the start of the path.
+	// Prefix matches the start of the path, Suffix its end.
 	Prefix string
+	Suffix string
 	// Work is the mean service time.
 	Work time.Duration
 	// Bytes is the size of the answer.
@@ -47,6 +49,10 @@
 	Hops []Hop
 }
 
+func (r Route) matches(method, path string) bool {
+	return r.Method == method && strings.HasPrefix(path, r.Prefix) && strings.HasSuffix(path, r.Suffix)
+}
+
 // Hop is one outgoing call.
 type Hop struct {
 	Service string
--- a/internal/fake/caller.go
+++ b/internal/fake/caller.go
@@ -96,12 +96,12 @@
 	if err != nil {
 		return 0, nil, errors.Wrap(err, "make request")
 	}
-	request.Header.Set(headerService, hop.Service)
+	request.Header.Set(HeaderService, hop.Service)
 	if parent != "" {
-		request.Header.Set(headerParent, parent)
+		request.Header.Set(HeaderParent, parent)
 	}
 	if limit, ok := ctx.Deadline(); ok {
-		request.Header.Set(headerTimeout, time.Until(limit).String())
+		request.Header.Set(HeaderTimeout, time.Until(limit).String())
 	}
 	response, err := client.Do(request)
 	if err != nil {
--- a/internal/fake/ledger.go
+++ b/internal/fake/ledger.go
@@ -1,6 +1,7 @@
 package fake
 
 import (
+	"strings"
 	"sync"
 	"time"
 )
@@ -69,13 +70,13 @@
 	return l.operations[operation]
 }
 
-// RepeatedKeys returns the number of idempotency keys that were executed more than once.
-func (l *Ledger) RepeatedKeys() int {
+// RepeatedKeys returns the number of idempotency keys with that prefix that were executed more than once.
+func (l *Ledger) RepeatedKeys(prefix string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	repeated := 0
-	for _, runs := range l.keys {
-		if runs > 1 {
+	for key, runs := range l.keys {
+		if runs > 1 && strings.HasPrefix(key, prefix) {
 			repeated++
 		}
 	}
--- a/internal/fake/serve.go
+++ b/internal/fake/serve.go
@@ -4,23 +4,25 @@
 	"context"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cockroachdb/errors"
 )
 
-// Headers between node and backend server.
+// Headers that callers, nodes and backend servers exchange.
 const (
-	headerParent    = "Pistachiotack-Parent"
-	headerOperation = "Pistachiotack-Operation"
-	headerTimeout   = "Pistachiotack-Timeout"
-	headerLoad      = "Pistachiotack-Load"
-	headerDraining  = "Pistachiotack-Draining"
-	headerOutcome   = "Pistachiotack-Outcome"
-	headerService   = "Pistachiotack-Service"
-	headerKey       = "Idempotency-Key"
+	HeaderParent    = "Pistachiotack-Parent"
+	HeaderOperation = "Pistachiotack-Operation"
+	HeaderTimeout   = "Pistachiotack-Timeout"
+	HeaderLoad      = "Pistachiotack-Load"
+	HeaderDraining  = "Pistachiotack-Draining"
+	HeaderOutcome   = "Pistachiotack-Outcome"
+	HeaderService   = "Pistachiotack-Service"
+	HeaderKey       = "Idempotency-Key"
+	// HeaderRetryAfter counts whole seconds, HeaderRetryAfterFine is a Go duration.
+	HeaderRetryAfter     = "Retry-After"
+	HeaderRetryAfterFine = "Pistachiotack-Retry-After"
 )
 
 // Query parameters that mark requests of the bench: which one, and whether it is a hop.
@@ -69,9 +71,9 @@
 func newVisit(c *app.RequestContext, route Route) visit {
 	v := visit{
 		request:   c.Query(QueryRequest),
-		key:       string(c.GetHeader(headerKey)),
-		operation: string(c.GetHeader(headerOperation)),
-		parent:    string(c.GetHeader(headerParent)),
+		key:       string(c.GetHeader(HeaderKey)),
+		operation: string(c.GetHeader(HeaderOperation)),
+		parent:    string(c.GetHeader(HeaderParent)),
 		hop:       c.Query(queryHop) != "",
 		route:     route,
 	}
@@ -85,7 +87,7 @@
 
 func (s *Server) route(method, path string) (Route, bool) {
 	for _, route := range s.options.Routes {
-		if route.Method == method && strings.HasPrefix(path, route.Prefix) {
+		if route.matches(method, path) {
 			return route, true
 		}
 	}
@@ -95,14 +97,14 @@
 
 // report adds what the server says of itself to an answer.
 func (s *Server) report(c *app.RequestContext) {
-	c.Header(headerLoad, strconv.FormatFloat(s.load(), 'f', 3, 64))
+	c.Header(HeaderLoad, strconv.FormatFloat(s.load(), 'f', 3, 64))
 	if s.Behaviour().Draining {
-		c.Header(headerDraining, "true")
+		c.Header(HeaderDraining, "true")
 	}
 }
 
 func deadline(ctx context.Context, c *app.RequestContext) (context.Context, context.CancelFunc) {
-	remaining, err := time.ParseDuration(string(c.GetHeader(headerTimeout)))
+	remaining, err := time.ParseDuration(string(c.GetHeader(HeaderTimeout)))
 	if err != nil {
 		return context.WithCancel(ctx)
 	}
@@ -129,8 +131,8 @@
 
 func (s *Server) shed(c *app.RequestContext) {
 	s.ledger.add(c.Query(QueryRequest), func(_ *Record, t *Totals) { t.Shed++ })
-	c.Header(headerOutcome, "notRun")
-	c.Header("Retry-After", "1")
+	c.Header(HeaderOutcome, "notRun")
+	c.Header(HeaderRetryAfter, "1")
 	c.String(http.StatusServiceUnavailable, "no slot\n")
 }
 
@@ -164,9 +166,7 @@
 
 // hop makes one outgoing call and checks its answer.
 func (s *Server) hop(ctx context.Context, v visit, hop Hop) (int, error) {
-	s.mu.Lock()
-	caller := s.caller
-	s.mu.Unlock()
+	caller := s.Caller()
 	if caller == nil {
 		return http.StatusBadGateway, nil
 	}
--- a/internal/fake/server.go
+++ b/internal/fake/server.go
@@ -155,6 +155,14 @@
 	s.caller = caller
 }
 
+// Caller returns the way out, nil if there is none.
+func (s *Server) Caller() Caller {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.caller
+}
+
 // serviceTime draws the time that one execution takes.
 func (s *Server) serviceTime(mean time.Duration) time.Duration {
 	s.mu.Lock()
--- a/internal/fake/server_test.go
+++ b/internal/fake/server_test.go
@@ -69,7 +69,7 @@
 	require.Equal(t, 1, s.Ledger().KeyRuns("k1"))
 	require.Equal(t, 1, s.Ledger().OperationRuns("op1"))
 	require.Equal(t, 1, s.Ledger().Request("a").RootRuns)
-	require.Zero(t, s.Ledger().RepeatedKeys())
+	require.Zero(t, s.Ledger().RepeatedKeys("k"))
 	require.Equal(t, "0.000", got.header.Get("Pistachiotack-Load"))
 }
 
