Carry exact credits through entry, executing node and backend server

Cause: the thin path split one number in halves, which is gone after six hops, and booked returns twice if they came twice.

Change: scopes hold a credit.Ledger; envelope and feedback carry attempts and retries; a call whose siblings hold the credits waits for one of them; a kind's need is learnt from what its calls spent. The retries of an operation are paid apart.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -72,6 +72,7 @@
 	tracer   Tracer
 	metrics  tally.Scope
 	client   *relay.Client
+	needs    *needs
 	close    func()
 	callers  *listen.Server
 	backend  *listen.Server
@@ -82,7 +83,7 @@
 func New(options Options) *Entry {
 	client, closeClient := relay.NewClient()
 
-	return &Entry{options: options, client: client, close: closeClient}
+	return &Entry{options: options, client: client, needs: newNeeds(), close: closeClient}
 }
 
 // String returns the name of the service.
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -11,6 +11,7 @@
 	"github.com/pistachiotack/pistachiotack/internal/trace"
 	"github.com/pistachiotack/pistachiotack/internal/wire"
 	"github.com/pistachiotack/pistachiotack/pkg/call"
+	"github.com/pistachiotack/pistachiotack/pkg/credit"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
 )
 
@@ -70,17 +71,17 @@
 	if refusal != nil {
 		return nil, choice.Target, refusal
 	}
-	grant, ok := r.scope.Ledger.Spend()
-	if !ok {
-		r.entry.options.Chooser.Done(now, Result{Target: choice.Target.ID, Outcome: call.OutcomeNotRun, Reason: call.ReasonNoCredits})
+	paid := r.pay(c)
+	if !paid.OK() {
+		r.entry.options.Chooser.Done(now, Result{Target: choice.Target.ID, Outcome: call.OutcomeNotRun, Reason: paid.Reason})
 
-		return nil, choice.Target, call.NewRefusal(call.OutcomeNotRun, call.ReasonNoCredits).WithFinal()
+		return nil, choice.Target, call.NewRefusal(call.OutcomeNotRun, paid.Reason).WithFinal()
 	}
 	answer := &relay.Answer{}
-	result := r.send(c, choice.Target, grant, answer)
+	result := r.send(c, choice.Target, paid.Grant, answer)
 	result.Target = choice.Target.ID
 	result.Took = time.Since(now)
-	r.scope.Ledger.Return(result.Feedback.Unspent)
+	r.book(paid, result, answer)
 	r.entry.options.Chooser.Done(time.Now(), result)
 	r.decide(trace.Decision{Step: trace.StepAttempt, Chosen: choice.Target.ID, Outcome: result.Outcome, Reason: result.Reason})
 	if result.Outcome == call.OutcomeRan {
@@ -91,6 +92,31 @@
 	return nil, choice.Target, failureOf(result)
 }
 
+// pay takes the credits for one attempt.
+func (r *request) pay(c context.Context) credit.Paid {
+	return r.scope.Ledger.Take(c, credit.Request{
+		Retry: r.attempt > 1,
+		Need:  r.entry.needs.estimate(r.started, r.policy, r.scope.Depth),
+	})
+}
+
+// book settles the credits of an attempt; those of a lost answer are lost.
+func (r *request) book(paid credit.Paid, result Result, answer *relay.Answer) {
+	ledger := r.scope.Ledger
+	switch {
+	case result.HasFeedback:
+		unspent := credit.Grant{Attempts: result.Feedback.Unspent, Retries: result.Feedback.UnspentRetries}
+		ledger.Return(paid.Number, unspent)
+		if result.Outcome == call.OutcomeRan && answer.Stream == nil {
+			r.entry.needs.observe(time.Now(), r.policy, paid.Grant, unspent)
+		}
+	case result.Outcome == call.OutcomeNotRun:
+		ledger.ReturnAll(paid.Number)
+	default:
+		ledger.Lose(paid.Number)
+	}
+}
+
 func (r *request) choose(now time.Time) (Choice, *call.Refusal) {
 	choice, refusal := r.entry.options.Chooser.Choose(now, Query{
 		Root:    r.scope.Root,
@@ -109,7 +135,7 @@
 }
 
 // send carries the call to the target and says what came of it.
-func (r *request) send(c context.Context, target member.Entry, grant int, answer *relay.Answer) Result {
+func (r *request) send(c context.Context, target member.Entry, grant credit.Grant, answer *relay.Answer) Result {
 	request, err := r.outgoing(target, grant)
 	if err != nil {
 		return Result{Outcome: call.OutcomeNotRun, Reason: call.ReasonBadRequest}
@@ -120,10 +146,10 @@
 		Progress: r.policy.Progress,
 	})
 
-	return classify(err, answer, grant)
+	return classify(err, answer)
 }
 
-func (r *request) outgoing(target member.Entry, grant int) (*protocol.Request, error) {
+func (r *request) outgoing(target member.Entry, grant credit.Grant) (*protocol.Request, error) {
 	in := &r.http.Request
 	out := &protocol.Request{}
 	out.Header.SetMethodBytes(in.Header.Method())
@@ -141,25 +167,22 @@
 		Caller:      r.scope.Caller,
 		Attempt:     r.attempt,
 		Depth:       r.scope.Depth + 1,
-		Credits:     grant,
+		Credits:     grant.Attempts,
+		Retries:     grant.Retries,
 		Rank:        r.rank,
 		Once:        r.policy.Once,
 		Remaining:   time.Until(r.expires),
+		Issued:      time.Now(),
 		Incarnation: target.Incarnation,
 		Revision:    r.scope.Snapshot.Revision(),
 	})
 }
 
-// classify tells what is certain after an attempt; credits of a lost answer are lost.
-func classify(err error, answer *relay.Answer, grant int) Result {
+// classify tells what is certain after an attempt.
+func classify(err error, answer *relay.Answer) Result {
 	var fault *relay.Fault
 	if errors.As(err, &fault) {
-		result := Result{Outcome: fault.Outcome(), Reason: fault.Reason}
-		if result.Outcome == call.OutcomeNotRun {
-			result.Feedback.Unspent = grant
-		}
-
-		return result
+		return Result{Outcome: fault.Outcome(), Reason: fault.Reason}
 	}
 	feedback, ok := wire.Feedback(&answer.Response.Header)
 	if !ok || !feedback.Outcome.Valid() {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -12,6 +12,7 @@
 	"github.com/pistachiotack/pistachiotack/internal/trace"
 	"github.com/pistachiotack/pistachiotack/internal/wire"
 	"github.com/pistachiotack/pistachiotack/pkg/call"
+	"github.com/pistachiotack/pistachiotack/pkg/credit"
 	"github.com/pistachiotack/pistachiotack/pkg/tree"
 )
 
@@ -62,7 +63,7 @@
 	return &scope.Scope{
 		Root:     call.NewRoot(),
 		Caller:   callerOf(ctx),
-		Ledger:   scope.NewPurse(policy.Attempts),
+		Ledger:   scope.NewLedger(credit.Grant{Attempts: policy.Attempts, Retries: policy.Retries}, 0, policy.Depth),
 		Expires:  now.Add(budget),
 		Snapshot: snapshot,
 	}
--- a/internal/exec/answer.go
+++ b/internal/exec/answer.go
@@ -12,6 +12,7 @@
 	"github.com/pistachiotack/pistachiotack/internal/trace"
 	"github.com/pistachiotack/pistachiotack/internal/wire"
 	"github.com/pistachiotack/pistachiotack/pkg/call"
+	"github.com/pistachiotack/pistachiotack/pkg/credit"
 )
 
 // noLoad stands for a backend server that made no report.
@@ -63,7 +64,7 @@
 	out := &x.http.Response
 	out.SetStatusCode(answer.Response.StatusCode())
 	wire.CopyResponseHeaders(&out.Header, &answer.Response.Header)
-	x.unspent = 0
+	x.unspent = credit.Grant{}
 	x.feedback(call.Feedback{Outcome: call.OutcomeRan, Reason: call.ReasonOK})
 	writer := relay.NewBodyWriter(x.http, answer.Stream.Length)
 	_, err := io.CopyBuffer(onlyWriter{writer}, onlyReader{answer.Stream}, make([]byte, streamWindow))
@@ -94,7 +95,8 @@
 // feedback completes and sends what the entry learns of this node.
 func (x *execution) feedback(feedback call.Feedback) {
 	pressure := x.exec.options.Admitter.Pressure()
-	feedback.Unspent = x.unspent
+	feedback.Unspent = x.unspent.Attempts
+	feedback.UnspentRetries = x.unspent.Retries
 	feedback.Threshold = pressure.Threshold
 	feedback.Inflight = pressure.Inflight
 	feedback.Queued = pressure.Queued
--- a/internal/exec/exec.go
+++ b/internal/exec/exec.go
@@ -16,6 +16,7 @@
 	"github.com/pistachiotack/pistachiotack/internal/scope"
 	"github.com/pistachiotack/pistachiotack/internal/trace"
 	"github.com/pistachiotack/pistachiotack/pkg/call"
+	"github.com/pistachiotack/pistachiotack/pkg/credit"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
 	"github.com/pistachiotack/pistachiotack/pkg/tree"
 )
@@ -159,7 +160,7 @@
 }
 
 // leave ends the operation and returns the attempts that it leaves unspent.
-func (e *Exec) leave(op call.ID, running *scope.Scope) int {
+func (e *Exec) leave(op call.ID, running *scope.Scope) credit.Grant {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	delete(e.running, op)
--- a/internal/exec/handle.go
+++ b/internal/exec/handle.go
@@ -13,6 +13,7 @@
 	"github.com/pistachiotack/pistachiotack/internal/trace"
 	"github.com/pistachiotack/pistachiotack/internal/wire"
 	"github.com/pistachiotack/pistachiotack/pkg/call"
+	"github.com/pistachiotack/pistachiotack/pkg/credit"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
 	"github.com/pistachiotack/pistachiotack/pkg/tree"
 )
@@ -26,7 +27,7 @@
 	snapshot *tree.Snapshot
 	started  time.Time
 	expires  time.Time
-	unspent  int
+	unspent  credit.Grant
 }
 
 // handle serves one call from a peer.
@@ -51,7 +52,7 @@
 		policy:   snapshot.Policy(e.options.DataCentre, envelope.Service, string(header.Method()), string(ctx.Request.URI().Path())),
 		started:  now,
 		expires:  now.Add(envelope.Remaining),
-		unspent:  envelope.Credits,
+		unspent:  credit.Grant{Attempts: envelope.Credits, Retries: envelope.Retries},
 	}
 	c, cancel := context.WithDeadline(c, x.expires)
 	defer cancel()
@@ -102,7 +103,7 @@
 		Caller:   x.envelope.Caller,
 		Rank:     x.envelope.Rank,
 		Depth:    x.envelope.Depth,
-		Ledger:   scope.NewPurse(x.envelope.Credits),
+		Ledger:   scope.NewLedger(x.unspent, x.envelope.Depth, x.policy.Depth),
 		Expires:  x.expires,
 		Snapshot: x.snapshot,
 	}
