Run nodes on the adaptive policy by default

Cause: nodes had round robin, a fixed limit without priority and three retries a hop. Change: entries choose, refuse early and retry through pkg/route and pkg/retry; executing nodes admit through pkg/admit under pkg/limit; each choice, admission, limit and ejection is a decision line with its reason. policy = "baseline" keeps the former way. An answer with status 5xx counts against its target unless a call below it was refused, and only the hop next to the fault tries again. A refusal after an attempt that may have run no longer says notRun.

Not yet measured under load.

--- /dev/null
+++ b/internal/entry/again.go
@@ -0,0 +1,59 @@
+package entry
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/pistachiotack/pistachiotack/pkg/retry"
+)
+
+// AdaptiveRetrier retries within a budget for each service, and only where it can help.
+type AdaptiveRetrier struct {
+	seed uint64
+
+	mu       sync.Mutex
+	retriers map[string]*retry.Retrier
+}
+
+// NewAdaptiveRetrier returns a retrier with empty budgets.
+func NewAdaptiveRetrier(seed uint64) *AdaptiveRetrier {
+	return &AdaptiveRetrier{seed: seed, retriers: map[string]*retry.Retrier{}}
+}
+
+// First counts a first attempt, which earns the service its share of a retry.
+func (a *AdaptiveRetrier) First(_ time.Time, service string, ratio float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.retrier(service).First(retry.Settings{Ratio: ratio})
+}
+
+// Decide says whether to make another attempt.
+func (a *AdaptiveRetrier) Decide(_ time.Time, failure Failure) Verdict {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	settings := retry.Settings{Ratio: failure.Policy.RetryRatio, Backoff: failure.Policy.RetryBackoff}
+	decision := a.retrier(failure.Service).Decide(settings, retry.Failure{
+		Attempt:    failure.Attempt,
+		Outcome:    failure.Outcome,
+		Reason:     failure.Reason,
+		Final:      failure.Final,
+		RetryAfter: failure.RetryAfter,
+		Idempotent: failure.Policy.Idempotent && !failure.Policy.Once,
+		Credits:    failure.Credits,
+		Left:       failure.Remaining,
+		Others:     failure.Others,
+	})
+
+	return Verdict{Retry: decision.Again, After: decision.After, Reason: decision.Reason}
+}
+
+func (a *AdaptiveRetrier) retrier(service string) *retry.Retrier {
+	known := a.retriers[service]
+	if known == nil {
+		known = retry.New(rand.New(rand.NewPCG(a.seed, uint64(len(a.retriers)))))
+		a.retriers[service] = known
+	}
+
+	return known
+}
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -24,11 +24,16 @@
 	Target     member.Entry
 	Candidates []string
 	Reason     call.Reason
+	Detail     string
 }
 
 // Result is what an entry saw of one attempt.
 type Result struct {
+	Service string
 	Target  string
+	// Incarnation is the one of the target that was chosen.
+	Incarnation uint64
+
 	Outcome call.Outcome
 	Reason  call.Reason
 	Took    time.Duration
@@ -38,6 +43,15 @@
 	Feedback    call.Feedback
 }
 
+// of returns the result with the target that it is about.
+func (r Result) of(service string, target member.Entry) Result {
+	r.Service = service
+	r.Target = target.ID
+	r.Incarnation = target.Incarnation
+
+	return r
+}
+
 // Chooser picks targets and learns from what became of the attempts.
 type Chooser interface {
 	// Choose picks among the members, or refuses; each choice must be followed by one Done.
--- a/internal/entry/retry.go
+++ b/internal/entry/retry.go
@@ -17,6 +17,10 @@
 	Final      bool
 	RetryAfter time.Duration
 	Remaining  time.Duration
+	// Credits is the number of attempts that the call may still make, as far as that is known.
+	Credits int
+	// Others is the number of targets that have not been tried.
+	Others int
 }
 
 // Verdict says whether to make another attempt, and after which wait.
@@ -29,7 +33,7 @@
 // Retrier decides about further attempts.
 type Retrier interface {
 	// First counts a first attempt, on which the retry ratio is based.
-	First(now time.Time, service string)
+	First(now time.Time, service string, ratio float64)
 	Decide(now time.Time, failure Failure) Verdict
 }
 
@@ -45,7 +49,7 @@
 }
 
 // First counts nothing.
-func (FixedRetrier) First(time.Time, string) {}
+func (FixedRetrier) First(time.Time, string, float64) {}
 
 // Decide allows a retry where running twice does no harm.
 func (FixedRetrier) Decide(_ time.Time, failure Failure) Verdict {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -20,19 +20,32 @@
 	if refusal := r.check(); refusal != nil {
 		return refusal
 	}
-	r.entry.options.Retrier.First(r.started, r.policy.Service)
+	r.entry.options.Retrier.First(r.started, r.policy.Service, r.policy.RetryRatio)
 	for {
 		r.attempt++
 		failure := r.try(c)
 		if failure == nil {
 			return nil
 		}
+		r.mayHaveRun = r.mayHaveRun || failure.Outcome != call.OutcomeNotRun
 		if refusal := r.pause(c, failure); refusal != nil {
-			return refusal
+			return r.honest(refusal)
 		}
 	}
 }
 
+// honest keeps a refusal from saying notRun when an earlier attempt may have been run.
+func (r *request) honest(refusal *call.Refusal) *call.Refusal {
+	if r.mayHaveRun && refusal.Outcome == call.OutcomeNotRun {
+		changed := *refusal
+		changed.Outcome = call.OutcomeUnknown
+
+		return &changed
+	}
+
+	return refusal
+}
+
 func (r *request) check() *call.Refusal {
 	switch {
 	case r.policy.Service == "":
@@ -53,11 +66,33 @@
 	if failure != nil {
 		return failure
 	}
+	if r.retriesFault(c, answer) {
+		answer.Close()
+
+		return r.try(c)
+	}
 	r.pass(c, target, answer)
 
 	return nil
 }
 
+// retriesFault reports whether an answer that blames the backend server is dropped for another attempt.
+func (r *request) retriesFault(c context.Context, answer *relay.Answer) bool {
+	if answer.Response.StatusCode() < statusFault {
+		return false
+	}
+	feedback, _ := wire.Feedback(&answer.Response.Header)
+	failure := call.NewRefusal(call.OutcomeRan, call.ReasonBackendFault)
+	failure.Final = feedback.Final
+	if r.pause(c, failure) != nil {
+		return false
+	}
+	r.mayHaveRun = true
+	r.attempt++
+
+	return true
+}
+
 // fetch makes one attempt and returns its answer.
 func (r *request) fetch(c context.Context) (*relay.Answer, *call.Refusal) {
 	answer, _, failure := r.fetchFrom(c)
@@ -73,13 +108,13 @@
 	}
 	paid := r.pay(c)
 	if !paid.OK() {
-		r.entry.options.Chooser.Done(now, Result{Target: choice.Target.ID, Outcome: call.OutcomeNotRun, Reason: paid.Reason})
+		result := Result{Outcome: call.OutcomeNotRun, Reason: paid.Reason}
+		r.entry.options.Chooser.Done(now, result.of(r.policy.Service, choice.Target))
 
 		return nil, choice.Target, call.NewRefusal(call.OutcomeNotRun, paid.Reason).WithFinal()
 	}
 	answer := &relay.Answer{}
-	result := r.send(c, choice.Target, paid.Grant, answer)
-	result.Target = choice.Target.ID
+	result := r.send(c, choice.Target, paid.Grant, answer).of(r.policy.Service, choice.Target)
 	result.Took = time.Since(now)
 	r.book(paid, result, answer)
 	r.entry.options.Chooser.Done(time.Now(), result)
@@ -129,7 +164,7 @@
 		return choice, refusal
 	}
 	r.tried = append(r.tried, choice.Target.ID)
-	r.decide(trace.Decision{Step: trace.StepRoute, Chosen: choice.Target.ID, Candidates: choice.Candidates, Reason: choice.Reason})
+	r.decide(trace.Decision{Step: trace.StepRoute, Chosen: choice.Target.ID, Candidates: choice.Candidates, Reason: choice.Reason, Detail: choice.Detail})
 
 	return choice, nil
 }
@@ -216,6 +251,8 @@
 		Final:      failure.Final,
 		RetryAfter: failure.RetryAfter,
 		Remaining:  time.Until(r.expires),
+		Credits:    1,
+		Others:     len(r.entry.members.Members(r.policy.Service)) - len(r.tried),
 	})
 	if !verdict.Retry {
 		return failure
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -28,6 +28,8 @@
 	expires time.Time
 	tried   []string
 	attempt int
+	// mayHaveRun says that an earlier attempt did not end as notRun.
+	mayHaveRun bool
 }
 
 // handleCaller serves a root request.
@@ -108,6 +110,7 @@
 
 func (r *request) refuse(refusal *call.Refusal) {
 	wire.WriteRefusal(&r.http.Response, refusal, r.op)
+	r.scope.NoteRefusal(refusal)
 	r.decide(trace.Decision{Step: trace.StepRefuse, Outcome: refusal.Outcome, Reason: refusal.Reason, Detail: refusal.Detail})
 	r.entry.metrics.Tagged(map[string]string{"reason": string(refusal.Reason)}).Counter("refused").Inc(1)
 }
--- /dev/null
+++ b/internal/exec/adapt_test.go
@@ -0,0 +1,73 @@
+package exec_test
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiotack/pistachiotack/internal/exec"
+	"github.com/pistachiotack/pistachiotack/pkg/call"
+	"github.com/pistachiotack/pistachiotack/pkg/tree"
+)
+
+func item(class call.Class, left time.Duration) exec.Item {
+	policy := tree.Default()
+	policy.Kind = class.String()
+
+	return exec.Item{
+		Envelope: call.Envelope{Rank: class.Floor(), Caller: "a"},
+		Policy:   policy,
+		Expires:  time.Now().Add(left),
+	}
+}
+
+func TestAdmitterGivesEverySlotBack(t *testing.T) {
+	a := exec.NewAdaptiveAdmitter(exec.AdaptiveOptions{Slots: 4, Seed: 1}, time.Now())
+	var admitted, refused, most, running atomic.Int64
+	var all sync.WaitGroup
+	for i := range 300 {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			ctx, cancel := context.WithTimeout(t.Context(), time.Duration(i%40)*time.Millisecond)
+			defer cancel()
+			admission, refusal := a.Admit(ctx, item(call.Class(i%4), time.Second))
+			if refusal != nil {
+				refused.Add(1)
+				require.Equal(t, call.OutcomeNotRun, refusal.Outcome)
+
+				return
+			}
+			admitted.Add(1)
+			if now := running.Add(1); now > most.Load() {
+				most.Store(now)
+			}
+			time.Sleep(time.Millisecond)
+			running.Add(-1)
+			admission.Release(exec.Finished{Took: time.Millisecond, Load: -1, Status: 200})
+		}()
+	}
+	all.Wait()
+	require.EqualValues(t, 300, admitted.Load()+refused.Load())
+	require.Positive(t, admitted.Load())
+	require.LessOrEqual(t, most.Load(), int64(4))
+	pressure := a.Pressure()
+	require.Zero(t, pressure.Inflight)
+	require.Zero(t, pressure.Queued)
+}
+
+func TestWaitingCallIsToldAtOnceWhenItIsGivenUp(t *testing.T) {
+	a := exec.NewAdaptiveAdmitter(exec.AdaptiveOptions{Slots: 1, Seed: 1}, time.Now())
+	held, refusal := a.Admit(t.Context(), item(call.ClassNormal, time.Minute))
+	require.Nil(t, refusal)
+	defer held.Release(exec.Finished{Load: -1})
+
+	_, refusal = a.Admit(t.Context(), item(call.ClassNormal, time.Minute))
+	require.Equal(t, call.ReasonQueueTimeout, refusal.Reason, "long before its deadline")
+	require.Positive(t, refusal.RetryAfter)
+	require.Contains(t, refusal.Detail, "running 1 of 1")
+}
--- a/internal/exec/admit.go
+++ b/internal/exec/admit.go
@@ -14,6 +14,16 @@
 	Envelope call.Envelope
 	Policy   tree.Policy
 	Expires  time.Time
+	// Bytes is the size of the request's body.
+	Bytes int64
+}
+
+// Admission is the leave to run a call.
+type Admission struct {
+	// Release must be called exactly once.
+	Release func(Finished)
+	Reason  call.Reason
+	Detail  string
 }
 
 // Finished is what is known of a call when it gives its slot back.
@@ -25,6 +35,11 @@
 	Shed bool
 	// Broken says that the call ended without an answer.
 	Broken bool
+	// Late says that the deadline ended the call.
+	Late bool
+	// Status is the HTTP status of the answer, zero for none, and Bytes the size of its body.
+	Status int
+	Bytes  int64
 }
 
 // Pressure is what an executing node tells about its load with each answer.
@@ -37,8 +52,8 @@
 
 // Admitter decides which calls run, and when.
 type Admitter interface {
-	// Admit returns once the call may run, or with the refusal; release must be called exactly once.
-	Admit(ctx context.Context, item Item) (release func(Finished), refusal *call.Refusal)
+	// Admit returns once the call may run, or with the refusal.
+	Admit(ctx context.Context, item Item) (Admission, *call.Refusal)
 	// Pressure returns the load at this moment.
 	Pressure() Pressure
 }
@@ -56,16 +71,16 @@
 }
 
 // Admit waits for a slot until the context ends.
-func (a *FixedAdmitter) Admit(ctx context.Context, _ Item) (func(Finished), *call.Refusal) {
+func (a *FixedAdmitter) Admit(ctx context.Context, _ Item) (Admission, *call.Refusal) {
 	a.queued.Add(1)
 	defer a.queued.Add(-1)
 	select {
 	case a.slots <- struct{}{}:
 		a.inflight.Add(1)
 
-		return a.release, nil
+		return Admission{Release: a.release, Reason: call.ReasonOK}, nil
 	case <-ctx.Done():
-		return nil, call.NewRefusal(call.OutcomeNotRun, call.ReasonQueueTimeout)
+		return Admission{}, call.NewRefusal(call.OutcomeNotRun, call.ReasonQueueTimeout)
 	}
 }
 
--- a/internal/exec/answer.go
+++ b/internal/exec/answer.go
@@ -38,8 +38,9 @@
 }
 
 // passBuffered sends a whole answer back, or tells that the backend server refused the call itself.
-func (x *execution) passBuffered(answer *relay.Answer) (Finished, *call.Refusal) {
-	finished := Finished{Load: noLoad}
+func (x *execution) passBuffered(answer *relay.Answer, running *scope.Scope) (Finished, *call.Refusal) {
+	status := answer.Response.StatusCode()
+	finished := Finished{Load: noLoad, Status: status, Late: status == statusLate, Bytes: int64(len(answer.Response.Body()))}
 	header := &answer.Response.Header
 	if load, reported := wire.Load(header); reported {
 		finished.Load = load
@@ -51,10 +52,16 @@
 	}
 	body := answer.Response.Body()
 	out := &x.http.Response
-	out.SetStatusCode(answer.Response.StatusCode())
+	out.SetStatusCode(status)
 	wire.CopyResponseHeaders(&out.Header, header)
 	out.SetBody(body)
-	x.feedback(call.Feedback{Outcome: call.OutcomeRan, Reason: call.ReasonOK, Digest: digest(body)})
+	feedback := call.Feedback{Outcome: call.OutcomeRan, Reason: call.ReasonOK, Digest: digest(body)}
+	if refused := running.Refusal(); refused != nil && status >= statusFault {
+		feedback.Final = true
+		feedback.Reason = refused.Reason
+		feedback.RetryAfter = refused.RetryAfter
+	}
+	x.feedback(feedback)
 
 	return finished, nil
 }
--- a/internal/exec/handle.go
+++ b/internal/exec/handle.go
@@ -66,15 +66,20 @@
 	if refusal := x.check(); refusal != nil {
 		return refusal
 	}
-	release, refusal := x.exec.options.Admitter.Admit(c, Item{Envelope: x.envelope, Policy: x.policy, Expires: x.expires})
+	admission, refusal := x.exec.options.Admitter.Admit(c, Item{
+		Envelope: x.envelope,
+		Policy:   x.policy,
+		Expires:  x.expires,
+		Bytes:    int64(len(x.http.Request.Body())),
+	})
 	if refusal != nil {
 		return refusal
 	}
-	x.decide(trace.StepAdmit, call.OutcomeRan, call.ReasonOK, "")
+	x.decide(trace.StepAdmit, call.OutcomeRan, admission.Reason, admission.Detail)
 	began := time.Now()
 	finished, refusal := x.forward(c)
 	finished.Took = time.Since(began)
-	release(finished)
+	admission.Release(finished)
 
 	return refusal
 }
@@ -119,10 +124,12 @@
 	}
 	x.unspent = x.exec.leave(x.envelope.Op, running)
 	if err != nil {
-		return Finished{Load: noLoad, Broken: true}, refusalOf(err)
+		refusal := refusalOf(err)
+
+		return Finished{Load: noLoad, Broken: true, Late: refusal.Reason == call.ReasonDeadline}, refusal
 	}
 
-	return x.passBuffered(answer)
+	return x.passBuffered(answer, running)
 }
 
 // refusalOf turns a failed attempt on the backend server into what the entry is told.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -114,6 +114,8 @@
 // services returns the services in the order in which they start.
 func (n *Node) services() []kernel.Service {
 	s := n.settings
+	decisions := trace.New(n.log, s.Name, s.Log.Buffer, s.Log.Decisions)
+	chooser, retrier := n.routing(decisions)
 	n.control = peers.New(peers.Options{Listen: s.Listen.Control, Log: n.log})
 	n.members = newFixedMembers(fixedEntries(s.Fleet.Targets))
 	n.exec = exec.New(exec.Options{
@@ -122,20 +124,20 @@
 		Service:     s.Service,
 		Incarnation: n.incarnation,
 		Backend:     s.Backend.Address,
-		Admitter:    exec.NewFixedAdmitter(s.Backend.Slots),
+		Admitter:    n.admitter(decisions),
 	})
 	n.entry = entry.New(entry.Options{
 		Callers:     s.Listen.Callers,
 		Backend:     s.Listen.Backend,
 		DataCentre:  s.DataCentre,
 		OrphanCalls: s.Backend.OrphanCalls,
-		Chooser:     entry.NewRoundRobin(),
-		Retrier:     entry.NewFixedRetrier(),
+		Chooser:     chooser,
+		Retrier:     retrier,
 	})
 	n.admin = admin.New(s.Listen.Operators)
 
 	return []kernel.Service{
-		trace.New(n.log, s.Name, s.Log.Buffer, s.Log.Decisions),
+		decisions,
 		meter.New(map[string]string{"node": s.Name, "data_centre": s.DataCentre, "target_service": s.Service}),
 		newFixedSettings(n.snapshot),
 		n.control,
--- a/internal/scope/scope.go
+++ b/internal/scope/scope.go
@@ -1,6 +1,7 @@
 package scope
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/pistachiotack/pistachiotack/pkg/call"
@@ -18,4 +19,16 @@
 	Ledger   *Ledger
 	Expires  time.Time
 	Snapshot *tree.Snapshot
+
+	refusal atomic.Pointer[call.Refusal]
+}
+
+// NoteRefusal remembers that a call under this scope got no answer.
+func (s *Scope) NoteRefusal(refusal *call.Refusal) {
+	s.refusal.Store(refusal)
+}
+
+// Refusal returns the latest refusal that was noted, nil for none.
+func (s *Scope) Refusal() *call.Refusal {
+	return s.refusal.Load()
 }
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -90,6 +90,11 @@
 	t.updated = true
 }
 
+// SetSettings takes the settings of the call that comes next.
+func (t *Table) SetSettings(settings Settings) {
+	t.settings = settings
+}
+
 // refresh returns the target for a member, with what is known of the same incarnation.
 func (t *Table) refresh(now time.Time, entry member.Entry) *target {
 	known, found := t.byID[entry.ID]
