Fence attempts at executing nodes and resolve those without an answer

Cause: a broken or silent connection left every outcome unknown, and a late copy of a request could run after its caller was told otherwise.

Change: the executing node books each attempt in the fence; Exec.Resolve, Exec.Cancel and Exec.Identify answer on the control listener. The entry resolves broken attempts, asks at each silent interval, drops the peer's connections when the node answers apart from them, and cancels by message what a closed connection may not tell. Once operations outlive their connection and their answers are remembered. Refusals at the deadline get 10 ms at most for their way.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -73,6 +73,9 @@
 	metrics  tally.Scope
 	client   *relay.Client
 	needs    *needs
+	control  Caller
+	courier  *courier
+	targets  *identities
 	close    func()
 	callers  *listen.Server
 	backend  *listen.Server
@@ -83,7 +86,7 @@
 func New(options Options) *Entry {
 	client, closeClient := relay.NewClient()
 
-	return &Entry{options: options, client: client, needs: newNeeds(), close: closeClient}
+	return &Entry{options: options, client: client, needs: newNeeds(), targets: newIdentities(), close: closeClient}
 }
 
 // String returns the name of the service.
@@ -110,6 +113,7 @@
 // Stop closes the listeners and the connections to other nodes.
 func (e *Entry) Stop(ctx context.Context) error {
 	defer e.close()
+	defer e.courier.close()
 
 	return errors.CombineErrors(e.callers.Close(ctx), e.backend.Close(ctx))
 }
@@ -153,6 +157,10 @@
 	if e.tracer, err = kernel.Find[Tracer](k, trace.Name); err != nil {
 		return err
 	}
+	if e.control, err = kernel.Find[Caller](k, "control"); err != nil {
+		return err
+	}
+	e.courier = newCourier(e.control)
 	metrics, err := kernel.Find[*meter.Meter](k, meter.Name)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/entry/probe.go
@@ -0,0 +1,138 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/pistachiotack/pistachiotack/internal/exec"
+	"github.com/pistachiotack/pistachiotack/internal/relay"
+	"github.com/pistachiotack/pistachiotack/internal/trace"
+	"github.com/pistachiotack/pistachiotack/pkg/call"
+	"github.com/pistachiotack/pistachiotack/pkg/fence"
+	"github.com/pistachiotack/pistachiotack/pkg/member"
+)
+
+// resolveTimeout bounds one question on the control connection.
+const resolveTimeout = 500 * time.Millisecond
+
+// probe asks the executing node, on a connection apart, what became of an attempt that brings no answer.
+type probe struct {
+	request *request
+	target  member.Entry
+	attempt fence.Attempt
+	// finished says that the node had finished the attempt at the last question.
+	finished bool
+	// verdict is the last word of the node, nil while there is none.
+	verdict *exec.Verdict
+}
+
+func (r *request) newProbe(target member.Entry, envelope call.Envelope) *probe {
+	// an envelope of a once operation was checked when its ID was made or read
+	attempt, _ := exec.AttemptOf(envelope)
+
+	return &probe{request: r, target: target, attempt: attempt}
+}
+
+// waiting is asked at each silent interval, and ends the attempt with an error.
+func (p *probe) waiting(c context.Context) error {
+	verdict, err := p.resolve(c, 0)
+	switch {
+	case err != nil && p.request.repeatable():
+		return call.NewRefusal(call.OutcomeUnknown, call.ReasonBroken).WithDetail("%v", err)
+	case err != nil, verdict.Waits():
+		return nil
+	case verdict.State == fence.StateDone && !p.finished:
+		// the answer may be on its way
+		p.finished = true
+
+		return nil
+	}
+	p.verdict = &verdict
+	p.request.entry.client.Drop(p.target.Peers)
+
+	return call.NewRefusal(verdict.Outcome, call.ReasonSilent).WithDetail("connection is silent, attempt is %s", verdict.State)
+}
+
+// settle makes an unknown result certain where the node can tell.
+func (p *probe) settle(c context.Context, result Result, answer *relay.Answer) Result {
+	if result.Outcome != call.OutcomeUnknown || (result.HasFeedback && result.Reason != call.ReasonTorn) {
+		return result
+	}
+	if result.Reason == call.ReasonCancelled {
+		p.request.entry.courier.cancel(p.target, p.attempt)
+
+		return result
+	}
+	if c.Err() != nil {
+		return result
+	}
+	p.ask(c)
+	switch {
+	case p.verdict == nil:
+		return result
+	case p.verdict.Answer != nil:
+		restore(answer, *p.verdict.Answer)
+		result.Outcome = call.OutcomeRan
+		result.Status = p.verdict.Answer.Status
+	case p.verdict.Outcome == call.OutcomeNotRun:
+		result.Outcome = call.OutcomeNotRun
+	}
+
+	return result
+}
+
+// ask resolves the attempt; it waits for a once operation, whose answer is remembered.
+func (p *probe) ask(c context.Context) {
+	for p.verdict == nil && c.Err() == nil {
+		verdict, err := p.resolve(c, p.request.policy.Progress)
+		switch {
+		case err != nil && !p.attempt.Once:
+			return
+		case err != nil:
+			sleep(c, p.request.policy.Progress)
+		case verdict.Waits() && p.attempt.Once:
+		default:
+			p.verdict = &verdict
+		}
+	}
+}
+
+func (p *probe) resolve(c context.Context, wait time.Duration) (exec.Verdict, error) {
+	c, cancel := context.WithTimeout(c, resolveTimeout+wait)
+	defer cancel()
+	var verdict exec.Verdict
+	args := exec.ResolveArgs{Attempt: p.attempt, Wait: wait}
+	err := p.request.entry.control.Call(c, p.target.Control, exec.MethodResolve, args, &verdict)
+	decision := trace.Decision{Step: trace.StepResolve, Chosen: p.target.ID, Outcome: verdict.Outcome, Reason: verdict.Reason, Detail: verdict.State.String()}
+	if err != nil {
+		decision.Outcome, decision.Reason, decision.Detail = call.OutcomeUnknown, call.ReasonConnect, err.Error()
+	}
+	p.request.decide(decision)
+
+	return verdict, err
+}
+
+// repeatable reports whether running the call twice does no harm.
+func (r *request) repeatable() bool {
+	return r.policy.Idempotent && !r.policy.Once
+}
+
+// restore makes the remembered answer the answer of the attempt.
+func restore(answer *relay.Answer, remembered exec.Answer) {
+	answer.Close()
+	answer.Stream = nil
+	answer.Response.SetStatusCode(remembered.Status)
+	for _, field := range remembered.Fields {
+		answer.Response.Header.Set(field.Name, field.Value)
+	}
+	answer.Response.SetBody(remembered.Body)
+}
+
+func sleep(c context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.Done():
+	}
+}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -15,6 +15,12 @@
 	"github.com/pistachiotack/pistachiotack/pkg/member"
 )
 
+const (
+	// answerShare and answerMargin bound the time kept back for the way of a refusal.
+	answerShare  = 20
+	answerMargin = 10 * time.Millisecond
+)
+
 // run makes attempts until one brings an answer or there is a reason to give up.
 func (r *request) run(c context.Context) *call.Refusal {
 	if refusal := r.check(); refusal != nil {
@@ -171,20 +177,26 @@
 
 // send carries the call to the target and says what came of it.
 func (r *request) send(c context.Context, target member.Entry, grant credit.Grant, answer *relay.Answer) Result {
-	request, err := r.outgoing(target, grant)
+	target = r.entry.targets.complete(target)
+	envelope := r.envelope(target, grant)
+	request, err := r.outgoing(envelope)
 	if err != nil {
 		return Result{Outcome: call.OutcomeNotRun, Reason: call.ReasonBadRequest}
 	}
+	probe := r.newProbe(target, envelope)
 	err = r.entry.client.Do(c, target.Peers, request, answer, relay.Limits{
 		Body:     int(r.policy.BufferAnswer),
 		Stream:   r.policy.Stream,
 		Progress: r.policy.Progress,
+		Waiting:  func() error { return probe.waiting(c) },
 	})
+	result := classify(err, answer)
+	r.entry.targets.learn(target, result.Feedback.Incarnation)
 
-	return classify(err, answer)
+	return probe.settle(c, result, answer)
 }
 
-func (r *request) outgoing(target member.Entry, grant credit.Grant) (*protocol.Request, error) {
+func (r *request) outgoing(envelope call.Envelope) (*protocol.Request, error) {
 	in := &r.http.Request
 	out := &protocol.Request{}
 	out.Header.SetMethodBytes(in.Header.Method())
@@ -193,7 +205,12 @@
 	wire.CopyRequestHeaders(&out.Header, &in.Header)
 	out.SetBodyRaw(in.Body())
 
-	return out, wire.SetEnvelope(&out.Header, call.Envelope{
+	return out, wire.SetEnvelope(&out.Header, envelope)
+}
+
+// envelope describes the attempt to the target.
+func (r *request) envelope(target member.Entry, grant credit.Grant) call.Envelope {
+	return call.Envelope{
 		Op:          r.op,
 		Root:        r.scope.Root,
 		Parent:      r.scope.Parent,
@@ -206,11 +223,18 @@
 		Retries:     grant.Retries,
 		Rank:        r.rank,
 		Once:        r.policy.Once,
-		Remaining:   time.Until(r.expires),
+		Remaining:   r.remaining(),
 		Issued:      time.Now(),
 		Incarnation: target.Incarnation,
 		Revision:    r.scope.Snapshot.Revision(),
-	})
+	}
+}
+
+// remaining leaves a little of the time, so that a refusal at the deadline comes before the wait for it ends.
+func (r *request) remaining() time.Duration {
+	left := time.Until(r.expires)
+
+	return left - min(left/answerShare, answerMargin)
 }
 
 // classify tells what is certain after an attempt.
--- a/internal/exec/answer.go
+++ b/internal/exec/answer.go
@@ -48,13 +48,14 @@
 	if string(header.Peek(wire.HeaderOutcome)) == string(call.OutcomeNotRun) {
 		finished.Shed = true
 
-		return finished, call.NewRefusal(call.OutcomeNotRun, call.ReasonBackendShed)
+		return finished, x.shed()
 	}
 	body := answer.Response.Body()
 	out := &x.http.Response
 	out.SetStatusCode(status)
 	wire.CopyResponseHeaders(&out.Header, header)
 	out.SetBody(body)
+	x.remember()
 	feedback := call.Feedback{Outcome: call.OutcomeRan, Reason: call.ReasonOK, Digest: digest(body)}
 	if refused := running.Refusal(); refused != nil && status >= statusFault {
 		feedback.Final = true
@@ -66,6 +67,16 @@
 	return finished, nil
 }
 
+// shed passes on that the backend server refused the call; if calls below were made, nobody above may try again.
+func (x *execution) shed() *call.Refusal {
+	refusal := call.NewRefusal(call.OutcomeNotRun, call.ReasonBackendShed)
+	if x.unspent.Attempts < x.envelope.Credits {
+		return refusal.WithFinal()
+	}
+
+	return refusal
+}
+
 // passStream sends an archive back in windows; if it breaks, the connection is cut.
 func (x *execution) passStream(answer *relay.Answer, running *scope.Scope) (Finished, *call.Refusal) {
 	out := &x.http.Response
--- a/internal/exec/exec.go
+++ b/internal/exec/exec.go
@@ -43,6 +43,11 @@
 	Decide(decision trace.Decision)
 }
 
+// Registrar serves questions of other nodes.
+type Registrar interface {
+	Register(name string, receiver any) error
+}
+
 // Options are the fixed properties of the executing node.
 type Options struct {
 	Listen      string
@@ -67,12 +72,13 @@
 	active  atomic.Int64
 	mu      sync.RWMutex
 	running map[call.ID]*scope.Scope
+	book    *book
 }
 
 // New returns an executing node that still has to be started.
 func New(options Options) *Exec {
 	client, closeClient := relay.NewClient()
-	e := &Exec{options: options, client: client, close: closeClient, running: map[call.ID]*scope.Scope{}}
+	e := &Exec{options: options, client: client, close: closeClient, running: map[call.ID]*scope.Scope{}, book: newBook(options.Incarnation)}
 	e.state.Store(member.StateServing)
 
 	return e
@@ -97,6 +103,13 @@
 		return nil, err
 	}
 	e.metrics = metrics.Scope().SubScope(Name)
+	control, err := kernel.Find[Registrar](k, "control")
+	if err != nil {
+		return nil, err
+	}
+	if err = control.Register(controlName, &Control{exec: e}); err != nil {
+		return nil, err
+	}
 	if e.server, err = listen.New(e.options.Listen, e.handle, listen.Options{MaxBody: maxBody}); err != nil {
 		return nil, err
 	}
--- a/internal/exec/handle.go
+++ b/internal/exec/handle.go
@@ -14,7 +14,7 @@
 	"github.com/pistachiotack/pistachiotack/internal/wire"
 	"github.com/pistachiotack/pistachiotack/pkg/call"
 	"github.com/pistachiotack/pistachiotack/pkg/credit"
-	"github.com/pistachiotack/pistachiotack/pkg/member"
+	"github.com/pistachiotack/pistachiotack/pkg/fence"
 	"github.com/pistachiotack/pistachiotack/pkg/tree"
 )
 
@@ -28,6 +28,9 @@
 	started  time.Time
 	expires  time.Time
 	unspent  credit.Grant
+	attempt  fence.Attempt
+	// remembered is the answer of a once operation, nil until it is whole.
+	remembered *Answer
 }
 
 // handle serves one call from a peer.
@@ -42,6 +45,9 @@
 
 		return
 	}
+	if envelope.Issued.IsZero() {
+		envelope.Issued = now
+	}
 	snapshot := e.settings.Snapshot()
 	header := &ctx.Request.Header
 	x := &execution{
@@ -54,18 +60,15 @@
 		expires:  now.Add(envelope.Remaining),
 		unspent:  credit.Grant{Attempts: envelope.Credits, Retries: envelope.Retries},
 	}
-	c, cancel := context.WithDeadline(c, x.expires)
+	c, cancel := x.lifetime(c)
 	defer cancel()
-	if refusal := x.run(c); refusal != nil {
+	if refusal := x.guarded(c, cancel); refusal != nil {
 		x.refuse(refusal)
 	}
 }
 
 // run takes the call through admission to the backend server.
 func (x *execution) run(c context.Context) *call.Refusal {
-	if refusal := x.check(); refusal != nil {
-		return refusal
-	}
 	admission, refusal := x.exec.options.Admitter.Admit(c, Item{
 		Envelope: x.envelope,
 		Policy:   x.policy,
@@ -87,8 +90,8 @@
 // check refuses what this node must not run.
 func (x *execution) check() *call.Refusal {
 	switch {
-	case x.exec.State() == member.StateDraining:
-		return call.NewRefusal(call.OutcomeNotRun, call.ReasonDraining)
+	case x.envelope.Once && x.envelope.Incarnation != x.exec.options.Incarnation:
+		return call.NewRefusal(call.OutcomeUnknown, call.ReasonWrongIncarnation)
 	case x.envelope.Incarnation != 0 && x.envelope.Incarnation != x.exec.options.Incarnation:
 		return call.NewRefusal(call.OutcomeNotRun, call.ReasonWrongIncarnation)
 	case x.envelope.Service != x.exec.options.Service:
@@ -102,6 +105,9 @@
 
 // forward runs the call on the backend server, while its outgoing calls may use the sub-grant.
 func (x *execution) forward(c context.Context) (Finished, *call.Refusal) {
+	if !x.exec.book.start(x.attempt) {
+		return Finished{Load: noLoad}, call.NewRefusal(call.OutcomeNotRun, call.ReasonFenced)
+	}
 	running := &scope.Scope{
 		Root:     x.envelope.Root,
 		Parent:   x.envelope.Op,
