--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -266,6 +266,7 @@
 
 // pause asks whether to try again and waits; it returns the refusal to give up with.
 func (r *request) pause(c context.Context, failure *call.Refusal) *call.Refusal {
+	left := r.scope.Ledger.Left()
 	verdict := r.entry.options.Retrier.Decide(time.Now(), Failure{
 		Service:    r.policy.Service,
 		Policy:     r.policy,
@@ -275,7 +276,7 @@
 		Final:      failure.Final,
 		RetryAfter: failure.RetryAfter,
 		Remaining:  time.Until(r.expires),
-		Credits:    1,
+		Credits:    min(left.Attempts, left.Retries),
 		Others:     len(r.entry.members.Members(r.policy.Service)) - len(r.tried),
 	})
 	if !verdict.Retry {
