Pin once operations to one home by ticket or claimed key

Cause: calls of kinds marked once had no identity beyond one request, so a caller that repeated one could have it run twice.

Change: internal/claim inserts a row for an Idempotency-Key and follows the ticket that holds it; without a key the entry hands out a ticket by 307, which needs no table. A pinned call only goes to its home's incarnation, and says notRun only on the home's word. Answers are recorded to the table in batches and recalled when the home is gone. With the table away a bare key is refused with outcome unknown, as an earlier request with it may have run. Nodes register store and claim.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -8,11 +8,13 @@
 	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/pistachiotack/pistachiotack/internal/claim"
 	"github.com/pistachiotack/pistachiotack/internal/kernel"
 	"github.com/pistachiotack/pistachiotack/internal/listen"
 	"github.com/pistachiotack/pistachiotack/internal/meter"
 	"github.com/pistachiotack/pistachiotack/internal/relay"
 	"github.com/pistachiotack/pistachiotack/internal/scope"
+	"github.com/pistachiotack/pistachiotack/internal/store"
 	"github.com/pistachiotack/pistachiotack/internal/trace"
 	"github.com/pistachiotack/pistachiotack/pkg/call"
 	"github.com/pistachiotack/pistachiotack/pkg/config"
@@ -75,6 +77,7 @@
 	needs    *needs
 	control  Caller
 	courier  *courier
+	table    claim.Table
 	targets  *identities
 	close    func()
 	callers  *listen.Server
@@ -160,6 +163,9 @@
 	if e.control, err = kernel.Find[Caller](k, "control"); err != nil {
 		return err
 	}
+	if e.table, err = kernel.Find[claim.Table](k, store.Name); err != nil {
+		return err
+	}
 	e.courier = newCourier(e.control)
 	metrics, err := kernel.Find[*meter.Meter](k, meter.Name)
 	if err != nil {
--- a/internal/entry/pass.go
+++ b/internal/entry/pass.go
@@ -22,6 +22,7 @@
 	wire.CopyResponseHeaders(&out.Header, &answer.Response.Header)
 	out.Header.Set(wire.HeaderOutcome, string(call.OutcomeRan))
 	out.Header.Set(wire.HeaderOperation, string(r.op))
+	r.showTicket()
 	r.entry.metrics.Counter("answered").Inc(1)
 	if answer.Stream != nil {
 		r.passStream(c, target, answer)
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -40,9 +40,10 @@
 	}
 }
 
-// honest keeps a refusal from saying notRun when an earlier attempt may have been run.
+// honest keeps a refusal from saying notRun when an earlier attempt, or an earlier request with the ticket, may have been run.
 func (r *request) honest(refusal *call.Refusal) *call.Refusal {
-	if r.mayHaveRun && refusal.Outcome == call.OutcomeNotRun {
+	sent := r.mayHaveRun || (r.home != nil && !r.home.fresh && !r.home.said)
+	if sent && refusal.Outcome == call.OutcomeNotRun {
 		changed := *refusal
 		changed.Outcome = call.OutcomeUnknown
 
@@ -108,14 +109,14 @@
 
 func (r *request) fetchFrom(c context.Context) (*relay.Answer, member.Entry, *call.Refusal) {
 	now := time.Now()
-	choice, refusal := r.choose(now)
+	choice, refusal := r.target(now)
 	if refusal != nil {
 		return nil, choice.Target, refusal
 	}
 	paid := r.pay(c)
 	if !paid.OK() {
 		result := Result{Outcome: call.OutcomeNotRun, Reason: paid.Reason}
-		r.entry.options.Chooser.Done(now, result.of(r.policy.Service, choice.Target))
+		r.done(result.of(r.policy.Service, choice.Target))
 
 		return nil, choice.Target, call.NewRefusal(call.OutcomeNotRun, paid.Reason).WithFinal()
 	}
@@ -123,7 +124,7 @@
 	result := r.send(c, choice.Target, paid.Grant, answer).of(r.policy.Service, choice.Target)
 	result.Took = time.Since(now)
 	r.book(paid, result, answer)
-	r.entry.options.Chooser.Done(time.Now(), result)
+	r.done(result)
 	r.decide(trace.Decision{Step: trace.StepAttempt, Chosen: choice.Target.ID, Outcome: result.Outcome, Reason: result.Reason})
 	if result.Outcome == call.OutcomeRan {
 		return answer, choice.Target, nil
@@ -158,6 +159,27 @@
 	}
 }
 
+// target returns where the next attempt goes: to the home of a once operation that has one, else to a choice.
+func (r *request) target(now time.Time) (Choice, *call.Refusal) {
+	if r.home == nil {
+		return r.choose(now)
+	}
+	entry, refusal := r.atHome()
+
+	return Choice{Target: entry}, refusal
+}
+
+// done tells the chooser of an attempt that it chose the target for.
+func (r *request) done(result Result) {
+	if r.home != nil {
+		if r.home.chosen.ID == "" {
+			return
+		}
+		r.home.chosen = member.Entry{}
+	}
+	r.entry.options.Chooser.Done(time.Now(), result)
+}
+
 func (r *request) choose(now time.Time) (Choice, *call.Refusal) {
 	choice, refusal := r.entry.options.Chooser.Choose(now, Query{
 		Root:    r.scope.Root,
@@ -177,7 +199,7 @@
 
 // send carries the call to the target and says what came of it.
 func (r *request) send(c context.Context, target member.Entry, grant credit.Grant, answer *relay.Answer) Result {
-	target = r.entry.targets.complete(target)
+	target = r.known(c, target)
 	envelope := r.envelope(target, grant)
 	request, err := r.outgoing(envelope)
 	if err != nil {
@@ -193,7 +215,12 @@
 	result := classify(err, answer)
 	r.entry.targets.learn(target, result.Feedback.Incarnation)
 
-	return probe.settle(c, result, answer)
+	result = r.correct(probe.settle(c, result, answer))
+	if r.home != nil {
+		r.home.said = result.HasFeedback || probe.verdict != nil
+	}
+
+	return result
 }
 
 func (r *request) outgoing(envelope call.Envelope) (*protocol.Request, error) {
@@ -217,7 +244,7 @@
 		Service:     r.policy.Service,
 		Kind:        r.policy.Kind,
 		Caller:      r.scope.Caller,
-		Attempt:     r.attempt,
+		Attempt:     r.base + r.attempt,
 		Depth:       r.scope.Depth + 1,
 		Credits:     grant.Attempts,
 		Retries:     grant.Retries,
@@ -230,6 +257,16 @@
 	}
 }
 
+// known completes the target; a once operation needs its incarnation, and asks for it.
+func (r *request) known(c context.Context, target member.Entry) member.Entry {
+	target = r.entry.targets.complete(target)
+	if r.policy.Once && target.Incarnation == 0 {
+		target.Incarnation = r.identify(c, target)
+	}
+
+	return target
+}
+
 // remaining leaves a little of the time, so that a refusal at the deadline comes before the wait for it ends.
 func (r *request) remaining() time.Duration {
 	left := time.Until(r.expires)
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -30,6 +30,9 @@
 	attempt int
 	// mayHaveRun says that an earlier attempt did not end as notRun.
 	mayHaveRun bool
+	// home pins a once operation, nil for all others; base is where its attempt numbers start.
+	home *home
+	base int
 }
 
 // handleCaller serves a root request.
@@ -89,7 +92,11 @@
 	}
 	c, cancel := context.WithDeadline(c, r.expires)
 	defer cancel()
-	if refusal := r.run(c); refusal != nil {
+	run := r.run
+	if policy.Once {
+		run = r.runOnce
+	}
+	if refusal := run(c); refusal != nil {
 		r.refuse(refusal)
 	}
 }
@@ -110,6 +117,7 @@
 
 func (r *request) refuse(refusal *call.Refusal) {
 	wire.WriteRefusal(&r.http.Response, refusal, r.op)
+	r.showTicket()
 	r.scope.NoteRefusal(refusal)
 	r.decide(trace.Decision{Step: trace.StepRefuse, Outcome: refusal.Outcome, Reason: refusal.Reason, Detail: refusal.Detail})
 	r.entry.metrics.Tagged(map[string]string{"reason": string(refusal.Reason)}).Counter("refused").Inc(1)
--- a/internal/exec/exec.go
+++ b/internal/exec/exec.go
@@ -43,6 +43,11 @@
 	Decide(decision trace.Decision)
 }
 
+// Recorder keeps the answers of once operations for the time after this process.
+type Recorder interface {
+	Record(op call.ID, answer Answer)
+}
+
 // Registrar serves questions of other nodes.
 type Registrar interface {
 	Register(name string, receiver any) error
@@ -73,6 +78,7 @@
 	mu      sync.RWMutex
 	running map[call.ID]*scope.Scope
 	book    *book
+	records Recorder
 }
 
 // New returns an executing node that still has to be started.
@@ -107,6 +113,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if e.records, err = kernel.Find[Recorder](k, "claim"); err != nil {
+		return nil, err
+	}
 	if err = control.Register(controlName, &Control{exec: e}); err != nil {
 		return nil, err
 	}
--- a/internal/exec/guard.go
+++ b/internal/exec/guard.go
@@ -44,7 +44,7 @@
 // guarded runs the call if the fence admits it, or gives what is known of it.
 func (x *execution) guarded(c context.Context, cancel context.CancelFunc) *call.Refusal {
 	if refusal := x.check(); refusal != nil {
-		return refusal
+		return x.beforeFence(refusal)
 	}
 	var refusal *call.Refusal
 	if x.attempt, refusal = AttemptOf(x.envelope); refusal != nil {
@@ -67,6 +67,15 @@
 	}
 }
 
+// beforeFence keeps a refusal that did not ask the fence from saying that a once operation was not run.
+func (x *execution) beforeFence(refusal *call.Refusal) *call.Refusal {
+	if x.envelope.Once {
+		refusal.Outcome = call.OutcomeUnknown
+	}
+
+	return refusal
+}
+
 // arrive asks the fence; a draining node only gives what it already knows.
 func (x *execution) arrive(cancel context.CancelFunc) Verdict {
 	book := x.exec.book
@@ -89,6 +98,9 @@
 		return refusal
 	}
 	x.exec.book.finish(x.attempt, x.remembered)
+	if x.remembered != nil {
+		x.exec.records.Record(x.envelope.Op, *x.remembered)
+	}
 
 	return refusal
 }
--- a/internal/exec/handle.go
+++ b/internal/exec/handle.go
@@ -90,9 +90,7 @@
 // check refuses what this node must not run.
 func (x *execution) check() *call.Refusal {
 	switch {
-	case x.envelope.Once && x.envelope.Incarnation != x.exec.options.Incarnation:
-		return call.NewRefusal(call.OutcomeUnknown, call.ReasonWrongIncarnation)
-	case x.envelope.Incarnation != 0 && x.envelope.Incarnation != x.exec.options.Incarnation:
+	case (x.envelope.Once || x.envelope.Incarnation != 0) && x.envelope.Incarnation != x.exec.options.Incarnation:
 		return call.NewRefusal(call.OutcomeNotRun, call.ReasonWrongIncarnation)
 	case x.envelope.Service != x.exec.options.Service:
 		return call.NewRefusal(call.OutcomeNotRun, call.ReasonUnknownService).WithDetail("this node serves %q", x.exec.options.Service)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,11 +8,13 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pistachiotack/pistachiotack/internal/admin"
+	"github.com/pistachiotack/pistachiotack/internal/claim"
 	"github.com/pistachiotack/pistachiotack/internal/entry"
 	"github.com/pistachiotack/pistachiotack/internal/exec"
 	"github.com/pistachiotack/pistachiotack/internal/kernel"
 	"github.com/pistachiotack/pistachiotack/internal/meter"
 	"github.com/pistachiotack/pistachiotack/internal/peers"
+	"github.com/pistachiotack/pistachiotack/internal/store"
 	"github.com/pistachiotack/pistachiotack/internal/trace"
 	"github.com/pistachiotack/pistachiotack/pkg/config"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
@@ -31,6 +33,7 @@
 	exec        *exec.Exec
 	admin       *admin.Admin
 	control     *peers.Service
+	store       *store.Store
 	members     *fixedMembers
 	snapshot    *tree.Snapshot
 	started     *kernel.Started
@@ -40,13 +43,20 @@
 func Start(ctx context.Context, settings config.Node, snapshot *tree.Snapshot, log *slog.Logger) (*Node, error) {
 	ctx = context.WithoutCancel(ctx)
 	n := &Node{settings: settings, incarnation: uint64(time.Now().UnixNano()), log: log, snapshot: snapshot}
+	var err error
+	if n.store, err = store.New(store.Options{
+		Table:   settings.Platform.Table,
+		Objects: settings.Platform.Objects,
+		Timeout: settings.Platform.Timeout.Std(),
+	}); err != nil {
+		return nil, err
+	}
 	k := kernel.New(log)
 	for _, service := range n.services() {
 		if err := k.Register(service); err != nil {
 			return nil, err
 		}
 	}
-	var err error
 	if n.started, err = k.Start(ctx); err != nil {
 		return nil, err
 	}
@@ -140,6 +150,8 @@
 		decisions,
 		meter.New(map[string]string{"node": s.Name, "data_centre": s.DataCentre, "target_service": s.Service}),
 		newFixedSettings(n.snapshot),
+		n.store,
+		claim.NewRecorder(s.Name, n.incarnation),
 		n.control,
 		n.members,
 		n.exec,
--- a/internal/wire/header.go
+++ b/internal/wire/header.go
@@ -16,6 +16,8 @@
 	// HeaderRetryAfterFine carries the same wait as Retry-After as a Go duration.
 	HeaderRetryAfterFine = "Pistachiotack-Retry-After"
 	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderTicket names the ticket of a once operation on every answer to it.
+	HeaderTicket = "Pistachiotack-Ticket"
 )
 
 // Headers between nodes, never accepted from a caller.
@@ -24,6 +26,9 @@
 	HeaderFeedback = "Pistachiotack-Feedback"
 )
 
+// QueryTicket is the query parameter by which a caller repeats a once operation.
+const QueryTicket = "pistachiotackTicket"
+
 // Prefix starts every header of the product.
 const Prefix = "Pistachiotack-"
 
--- a/internal/wire/refuse.go
+++ b/internal/wire/refuse.go
@@ -44,6 +44,7 @@
 	call.ReasonKeyClaimed:     statusConflict,
 	call.ReasonDuplicate:      statusConflict,
 	call.ReasonTicketExpired:  statusGone,
+	call.ReasonHomeGone:       statusGone,
 	call.ReasonFairShare:      statusTooMany,
 	call.ReasonBroken:         statusBadGateway,
 	call.ReasonTorn:           statusBadGateway,
--- a/pkg/call/outcome.go
+++ b/pkg/call/outcome.go
@@ -55,4 +55,5 @@
 	ReasonStale            Reason = "staleAttempt"
 	ReasonKeyClaimed       Reason = "keyClaimed"
 	ReasonTableAway        Reason = "tableAway"
+	ReasonHomeGone         Reason = "homeGone"
 )
