Hold, spread and try settings revisions

Cause: nodes served one fixed tree; a change had no way to reach them. An edit is merged, tried on a bounded share under a lease, judged and accepted by a conditional write whose lost answer is looked up. A table that came back older is said loudly and mended if it is an ancestor of what is in force.

--- /dev/null
+++ b/internal/holder/holder_test.go
@@ -0,0 +1,320 @@
+package holder_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/pistachiotack/pistachiotack/internal/holder"
+	"github.com/pistachiotack/pistachiotack/internal/plat"
+	"github.com/pistachiotack/pistachiotack/internal/store"
+	"github.com/pistachiotack/pistachiotack/pkg/call"
+	"github.com/pistachiotack/pistachiotack/pkg/tree"
+	"github.com/pistachiotack/pistachiotack/pkg/trial"
+)
+
+// TestMonotoneProperty: whatever records and offers arrive in whatever order, a node goes up only, and holds whole trees.
+func TestMonotoneProperty(t *testing.T) {
+	now := time.Now()
+	rapid.Check(t, func(rt *rapid.T) {
+		current, highest := holder.NewCurrent(), uint64(0)
+		for range rapid.IntRange(1, 20).Draw(rt, "steps") {
+			before := current
+			revision := rapid.Uint64Range(1, 9).Draw(rt, "revision")
+			switch rapid.SampledFrom([]string{"record", "fork", "broken", "offer", "lapse"}).Draw(rt, "step") {
+			case "record", "fork":
+				edit := rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "edit")
+				record := holder.Record{Ancestor: holder.Ancestor{Revision: revision, Edit: edit}, Text: fmt.Sprintf("attempts = %d", revision)}
+				next, change, err := current.Adopt(record)
+				require.NoError(rt, err)
+				require.Equal(rt, revision > highest, change == holder.ChangeAdopted)
+				highest = max(highest, revision)
+				current = next
+			case "broken":
+				next, _, err := current.Adopt(holder.Record{Ancestor: holder.Ancestor{Revision: revision}, Text: "atempts = 3"})
+				require.Equal(rt, revision > highest, err != nil)
+				current = next
+			case "offer":
+				next, err := current.Offer("edit", revision, "attempts = 60", now)
+				require.Equal(rt, err == nil, revision == highest)
+				current = next
+			case "lapse":
+				current, _ = current.Lapse(now)
+				require.Empty(rt, current.Trial())
+			}
+			require.Equal(rt, highest, current.Record().Revision)
+			require.GreaterOrEqual(rt, current.Snapshot().Revision(), before.Snapshot().Revision())
+			want := int(highest)
+			if highest == 0 {
+				want = tree.Default().Attempts
+			}
+			if current.Trial() != "" {
+				want = 60
+			}
+			require.Equal(rt, want, current.Snapshot().Policy("p", "s", "GET", "/").Attempts)
+		}
+	})
+}
+
+func TestEditReachesAllNodes(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 8)
+	f.seed(start)
+	result := f.nodes[3].Propose(t.Context(), f.nodes[3].edit(t, "anna", "service.alarm.attempts", "9"))
+	require.Equal(t, trial.StateAccepted, result.State, result.Detail)
+	require.Equal(t, trial.ReasonGuardHeld, result.Reason)
+	require.EqualValues(t, 2, result.Revision)
+	f.await(2)
+	for _, n := range f.nodes {
+		require.Equal(t, 9, n.Snapshot().Policy("hal-a", "alarm", "GET", "/").Attempts)
+		require.Empty(t, n.Snapshot().Trial())
+	}
+	history := f.nodes[0].History(t.Context())
+	require.Len(t, history.Proposals, 1)
+	require.Equal(t, "anna", history.Proposals[0].Author)
+	require.Equal(t, []string{"service.alarm.attempts: (inherited) -> 9"}, history.Proposals[0].Changes)
+
+	back := f.nodes[5].Propose(t.Context(), holder.Edit{Author: "bert", Base: 2, Text: start})
+	require.EqualValues(t, 3, back.Revision, "a revert is a new revision")
+	older, err := f.nodes[5].TreeAt(t.Context(), 2)
+	require.NoError(t, err)
+	require.Len(t, tree.Diff(f.nodes[5].Snapshot().Tree(), older), 1)
+}
+
+func TestTwoOperatorsRace(t *testing.T) {
+	t.Parallel()
+	for name, tt := range map[string]struct {
+		paths    [2]string
+		accepted int
+	}{
+		"disjoint":    {[2]string{"service.alarm.attempts", "service.logboek.attempts"}, 2},
+		"overlapping": {[2]string{"service.alarm.attempts", "service.alarm.attempts"}, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, 6)
+			f.seed(start)
+			results := make(chan holder.Result, 2)
+			for i, path := range tt.paths {
+				n := f.nodes[i]
+				edit := n.edit(t, fmt.Sprint("operator", i), path, fmt.Sprint(7+i))
+				go func() { results <- n.Propose(context.Background(), edit) }()
+			}
+			accepted := 0
+			for range tt.paths {
+				result := <-results
+				if result.State == trial.StateAccepted {
+					accepted++
+
+					continue
+				}
+				require.Equal(t, trial.ReasonConflict, result.Reason, result.Detail)
+				require.Len(t, result.Conflicts, 1)
+				require.Regexp(t, `service.alarm.attempts: was \(inherited\), accepted meanwhile [78], this edit [78]`, result.Detail)
+			}
+			require.Equal(t, tt.accepted, accepted)
+			f.await(uint64(1 + tt.accepted))
+			changes := tree.Diff(f.nodes[0].Snapshot().Tree(), mustParse(t, start))
+			require.Len(t, changes, tt.accepted)
+			require.Len(t, f.nodes[2].History(t.Context()).Proposals, 2)
+		})
+	}
+}
+
+func mustParse(t *testing.T, text string) *tree.Tree {
+	t.Helper()
+	parsed, err := tree.Parse(text)
+	require.NoError(t, err)
+
+	return parsed
+}
+
+func TestAnswerOfAcceptanceLost(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 4)
+	f.seed(start)
+	f.platform.SetFault(plat.NewFault(plat.ModeNoAnswer).OnWrites("settings/"))
+	result := f.nodes[0].Propose(t.Context(), f.nodes[0].edit(t, "anna", "attempts", "9"))
+	require.Equal(t, trial.StateAccepted, result.State, result.Detail)
+	require.EqualValues(t, 2, result.Revision)
+	f.await(2)
+	row, err := f.store.Get(t.Context(), "settings/head")
+	require.NoError(t, err)
+	var head holder.Record
+	require.NoError(t, json.Unmarshal(row.Value, &head))
+	require.Equal(t, result.Edit, head.Edit)
+	require.EqualValues(t, 2, head.Revision, "written once")
+}
+
+func TestStoreLostAfterAcceptance(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 6)
+	f.seed(start)
+	result := f.nodes[0].Propose(t.Context(), f.nodes[0].edit(t, "anna", "attempts", "9"))
+	f.platform.SetFault(plat.NewFault(plat.ModeDown))
+	require.Equal(t, trial.StateAccepted, result.State, result.Detail)
+	f.await(2)
+	replaced := f.grow(good)
+	f.await(2)
+	require.Equal(t, 9, replaced.Snapshot().Policy("hal-a", "alarm", "GET", "/").Attempts)
+	require.Eventually(t, func() bool { return len(replaced.Degraded()) > 0 }, patience, time.Millisecond)
+
+	refusal := replaced.Propose(t.Context(), replaced.edit(t, "bert", "attempts", "3"))
+	require.Equal(t, trial.StateRefused, refusal.State)
+	require.Equal(t, call.ReasonTableAway, refusal.Reason)
+	f.platform.SetFault(plat.NewFault(plat.ModeNone))
+	require.Eventually(t, func() bool { return len(replaced.Degraded()) == 0 }, patience, time.Millisecond)
+}
+
+func TestOlderStoreIsNotAdoptedAndMended(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 4)
+	f.seed(start)
+	f.platform.Save()
+	result := f.nodes[0].Propose(t.Context(), f.nodes[0].edit(t, "anna", "attempts", "9"))
+	require.Equal(t, trial.StateAccepted, result.State, result.Detail)
+	f.await(2)
+	f.platform.SetFault(plat.NewFault(plat.ModeRefuse).OnWrites(""))
+	f.platform.Restore()
+	require.Eventually(t, func() bool { return len(f.nodes[1].Degraded()) == 1 }, patience, time.Millisecond)
+	require.Contains(t, f.nodes[1].Degraded()[0], "table holds revision 1 (edit seed), revision 2 stays in force")
+	f.platform.SetFault(plat.NewFault(plat.ModeNone))
+	require.Eventually(t, func() bool {
+		row, err := f.store.Get(context.Background(), "settings/head")
+		var head holder.Record
+
+		return err == nil && json.Unmarshal(row.Value, &head) == nil && head.Revision == 2 && head.Edit == result.Edit
+	}, patience, 10*time.Millisecond)
+	f.await(2)
+}
+
+// TestForkIsLeftAlone: a revision that others accepted on the older store is not overwritten by the nodes that have another one.
+func TestForkIsLeftAlone(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 2)
+	f.seed(start)
+	other := holder.Record{Ancestor: holder.Ancestor{Revision: 1, Edit: "other"}, Text: start}
+	value, err := json.Marshal(other)
+	require.NoError(t, err)
+	_, err = f.store.Put(t.Context(), "settings/head", value, "")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return len(f.nodes[0].Degraded()) == 1 }, patience, time.Millisecond)
+	result := f.nodes[0].Propose(t.Context(), f.nodes[0].edit(t, "anna", "attempts", "9"))
+	require.EqualValues(t, 2, result.Revision, result.Detail)
+	require.Len(t, result.Warnings, 1)
+	f.await(2)
+}
+
+func TestBadEditIsBoundedAndRefused(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 0)
+	var touched atomic.Int64
+	for range 8 {
+		var n node
+		n = f.grow(func() trial.Count {
+			if n.Holder != nil && n.Snapshot().Trial() != "" {
+				touched.Add(1)
+
+				return trial.Count{Offered: 100, Good: 60}
+			}
+
+			return good()
+		})
+	}
+	f.seed(start)
+	result := f.nodes[0].Propose(t.Context(), f.nodes[0].edit(t, "anna", "deadline", "150ms"))
+	require.Equal(t, trial.StateRefused, result.State)
+	require.Equal(t, trial.ReasonGuardBroken, result.Reason, result.Detail)
+	require.Positive(t, touched.Load())
+	for _, n := range f.nodes {
+		require.Empty(t, n.Snapshot().Trial())
+		require.EqualValues(t, 1, n.Snapshot().Revision())
+	}
+	proposals := f.nodes[4].History(t.Context()).Proposals
+	require.Len(t, proposals, 1)
+	require.Equal(t, trial.ReasonGuardBroken, proposals[0].Reason)
+	require.Contains(t, proposals[0].Detail, "guard 95.0%")
+}
+
+func TestNoTrafficNeedsAWord(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 0)
+	n := f.grow(func() trial.Count { return trial.Count{} })
+	f.seed(start)
+	edit := n.edit(t, "anna", "attempts", "9")
+	result := n.Propose(t.Context(), edit)
+	require.Equal(t, trial.StateRefused, result.State)
+	require.Equal(t, trial.ReasonNoTraffic, result.Reason, result.Detail)
+	edit.Untested = true
+	result = n.Propose(t.Context(), edit)
+	require.Equal(t, trial.StateAccepted, result.State)
+	require.Equal(t, trial.ReasonUntested, result.Reason, result.Detail)
+}
+
+func TestVanishedCoordinatorExpires(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 0)
+	f.options.Lease = 400 * time.Millisecond
+	for range 4 {
+		f.grow(good)
+	}
+	f.seed(start)
+	lone := f.nodes[0]
+	ended := make(chan holder.Result, 1)
+	edit := lone.edit(t, "anna", "attempts", "9")
+	edit.ID = "edit-of-the-vanished"
+	go func() { ended <- lone.Propose(context.Background(), edit) }()
+	onTrial := func() bool {
+		for _, n := range f.nodes[1:] {
+			if n.Snapshot().Trial() != "" {
+				return true
+			}
+		}
+
+		return false
+	}
+	require.Eventually(t, onTrial, patience, time.Millisecond)
+	f.platform.SetFault(plat.NewFault(plat.ModeDown))
+	lone.stop()
+	require.Eventually(t, func() bool { return !onTrial() }, patience, time.Millisecond)
+	require.NotEqual(t, trial.StateAccepted, (<-ended).State)
+	f.platform.SetFault(plat.NewFault(plat.ModeNone))
+	for _, n := range f.nodes {
+		require.EqualValues(t, 1, n.Snapshot().Revision())
+	}
+	age(t, f.store)
+	var proposals []trial.Proposal
+	require.Eventually(t, func() bool {
+		proposals = f.nodes[1].History(context.Background()).Proposals
+
+		return len(proposals) == 1
+	}, patience, 10*time.Millisecond)
+	require.Equal(t, trial.StateExpired, proposals[0].State)
+	require.Equal(t, trial.ReasonVanished, proposals[0].Reason)
+}
+
+// age moves the end of the only proposal into the past.
+func age(t *testing.T, s *store.Store) {
+	t.Helper()
+	var rows []store.Row
+	require.Eventually(t, func() bool {
+		var err error
+		rows, err = s.List(context.Background(), "settings/proposal/", "")
+
+		return err == nil && len(rows) == 1
+	}, patience, 10*time.Millisecond)
+	var p trial.Proposal
+	require.NoError(t, json.Unmarshal(rows[0].Value, &p))
+	require.Equal(t, trial.StateOnTrial, p.State)
+	p.Until = p.ProposedAt
+	value, err := json.Marshal(p)
+	require.NoError(t, err)
+	_, err = s.Put(context.Background(), rows[0].Key, value, rows[0].ETag)
+	require.NoError(t, err)
+}
--- a/pkg/tree/check.go
+++ b/pkg/tree/check.go
@@ -172,3 +172,17 @@
 
 	return scopes
 }
+
+// CheckPath refuses a place, service or kind that the tree does not declare; nil if all are declared.
+func (t *Tree) CheckPath(at Path) *Problem {
+	r := &reader{tree: t}
+	asked := table{path: at}
+	r.checkName(CodeUnknownPlace, asked, at.Place, t.places, keyPlaces)
+	r.checkName(CodeUnknownService, asked, at.Service, t.services, keyServices)
+	r.checkName(CodeUnknownKind, asked, at.Kind, t.Kinds(at.Service), "service."+at.Service+".kind")
+	if len(r.problems) > 0 {
+		return &r.problems[0]
+	}
+
+	return nil
+}
--- a/pkg/tree/value.go
+++ b/pkg/tree/value.go
@@ -68,7 +68,7 @@
 	case TypeText:
 		return strconv.Quote(v.text)
 	default:
-		return ""
+		return v.text
 	}
 }
 
@@ -77,6 +77,13 @@
 	return []byte(v.String()), nil
 }
 
+// UnmarshalText takes a value that another process wrote, to be shown and no more: it has no type.
+func (v *Value) UnmarshalText(text []byte) error {
+	*v = Value{text: string(text)}
+
+	return nil
+}
+
 // formatDuration drops the zero parts that time.Duration writes behind whole minutes and hours.
 func formatDuration(d time.Duration) string {
 	text := d.String()
