Remember once operations as long as their kind asks, and drop old answers first

Cause: the fence remembered for ten minutes whatever the tree's answerMemory said, and full answer memory refused all calls.

Change: the memory widens with the kinds that arrive, never covering what was forgotten before; operations have a bound of their own that only refuses once kinds; the oldest answers are dropped before their operations.

Result: pkg/fence tests, with small bounds drawn in the property test.

--- a/internal/exec/book.go
+++ b/internal/exec/book.go
@@ -52,10 +52,13 @@
 }
 
 // arrive admits the attempt, whose work ends with cancel, or says what is known of it.
-func (b *book) arrive(now time.Time, a fence.Attempt, cancel context.CancelFunc) Verdict {
+func (b *book) arrive(now time.Time, a fence.Attempt, memory time.Duration, cancel context.CancelFunc) Verdict {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
+	if a.Once {
+		b.fence.Widen(now, memory)
+	}
 	verdict := b.fence.Arrive(now, a)
 	if verdict.Admitted() {
 		b.cancels[keyOf(a)] = cancel
--- a/internal/exec/guard.go
+++ b/internal/exec/guard.go
@@ -80,7 +80,7 @@
 func (x *execution) arrive(cancel context.CancelFunc) Verdict {
 	book := x.exec.book
 	if x.exec.State() != member.StateDraining {
-		return book.arrive(time.Now(), x.attempt, cancel)
+		return book.arrive(time.Now(), x.attempt, x.policy.AnswerMemory, cancel)
 	}
 	verdict := book.resolve(time.Now(), x.attempt)
 	if verdict.Outcome == call.OutcomeNotRun {
--- a/pkg/fence/fence.go
+++ b/pkg/fence/fence.go
@@ -12,9 +12,11 @@
 	AttemptMemory time.Duration
 	// AnswerMemory is how long a once operation is remembered; one opened earlier is refused.
 	AnswerMemory time.Duration
-	// Records is the most attempts and once operations remembered.
+	// Records is the most attempts remembered.
 	Records int
-	// AnswerBytes is the most bytes of remembered answers.
+	// Operations is the most once operations remembered.
+	Operations int
+	// AnswerBytes is the most bytes of remembered answers; the oldest are dropped before the operations they belong to.
 	AnswerBytes int64
 }
 
@@ -23,7 +25,8 @@
 	return Limits{
 		AttemptMemory: 5 * time.Second,
 		AnswerMemory:  10 * time.Minute,
-		Records:       50_000,
+		Records:       30_000,
+		Operations:    30_000,
 		AnswerBytes:   4 << 20,
 	}
 }
@@ -42,7 +45,9 @@
 	live        map[key]*record
 	past        *memory[key, State]
 	operations  *memory[call.ID, *operation[A]]
-	bytes       int64
+	// kept holds the operations with answers, oldest first, and bytes the size of the answers.
+	kept  []*operation[A]
+	bytes int64
 }
 
 type record struct {
@@ -78,7 +83,7 @@
 	if v, settled := f.settled(a); settled {
 		return v
 	}
-	if f.full() {
+	if f.full(a) {
 		return f.settle(a, call.ReasonBufferFull)
 	}
 	if a.Once {
@@ -91,6 +96,12 @@
 	return Verdict[A]{State: r.state, Outcome: call.OutcomeUnknown, Reason: call.ReasonOK}
 }
 
+// Widen remembers once operations for at least that long from now on; it never goes back.
+func (f *Fence[A]) Widen(now time.Time, answerMemory time.Duration) {
+	f.advance(now)
+	f.operations.widen(f.now, answerMemory)
+}
+
 // settled gives the verdict on an attempt that cannot be admitted any more.
 func (f *Fence[A]) settled(a Attempt) (Verdict[A], bool) {
 	if a.Incarnation != f.incarnation {
@@ -128,10 +139,12 @@
 	return verdictOf(o.state, call.ReasonDuplicate, o.answer), true
 }
 
-func (f *Fence[A]) full() bool {
-	records := len(f.live) + f.past.size + f.operations.size
+func (f *Fence[A]) full(a Attempt) bool {
+	if a.Once && f.operations.size >= f.limits.Operations {
+		return true
+	}
 
-	return records >= f.limits.Records || f.bytes >= f.limits.AnswerBytes
+	return len(f.live)+f.past.size >= f.limits.Records
 }
 
 // settle fences an attempt that will not run; without room to remember that, nothing is promised.
@@ -180,13 +193,28 @@
 		return
 	}
 	if o := f.follow(r, eventFinish); o != nil && answer != nil {
-		o.answer = answer
-		o.size = size
-		f.bytes += size
+		f.keep(o, answer, size)
 	}
 	f.bury(r)
 }
 
+// keep remembers an answer, and drops the oldest ones where there is no room.
+func (f *Fence[A]) keep(o *operation[A], answer *A, size int64) {
+	o.answer = answer
+	o.size = size
+	f.bytes += size
+	f.kept = append(f.kept, o)
+	for len(f.kept) > 0 && (f.bytes > f.limits.AnswerBytes || f.kept[0].answer == nil) {
+		f.drop(f.kept[0])
+		f.kept = f.kept[1:]
+	}
+}
+
+func (f *Fence[A]) drop(o *operation[A]) {
+	f.bytes -= o.size
+	o.answer, o.size = nil, 0
+}
+
 // follow moves the once operation along with the attempt that owns it.
 func (f *Fence[A]) follow(r *record, e event) *operation[A] {
 	if !r.attempt.Once {
@@ -244,5 +272,5 @@
 
 // forget drops a once operation, of which later attempts are refused for their age.
 func (f *Fence[A]) forget(_ call.ID, o *operation[A]) {
-	f.bytes -= o.size
+	f.drop(o)
 }
--- a/pkg/fence/fence_test.go
+++ b/pkg/fence/fence_test.go
@@ -12,7 +12,7 @@
 	"github.com/pistachiotack/pistachiotack/pkg/fence"
 )
 
-var limits = fence.Limits{AttemptMemory: 5 * time.Second, AnswerMemory: time.Minute, Records: 60, AnswerBytes: 200}
+var limits = fence.Limits{AttemptMemory: 5 * time.Second, AnswerMemory: time.Minute, Records: 60, Operations: 40, AnswerBytes: 200}
 
 type attemptKey struct {
 	op     call.ID
@@ -46,6 +46,8 @@
 		runsOnce: map[call.ID]int{}, notRun: map[attemptKey]bool{},
 	}
 	w.limits.Records = rapid.SampledFrom([]int{3, 60}).Draw(t, "records")
+	w.limits.Operations = rapid.SampledFrom([]int{1, 40}).Draw(t, "operations")
+	w.limits.AnswerBytes = rapid.SampledFrom([]int64{0, 200}).Draw(t, "answerBytes")
 	w.restart(nil)
 
 	return w
@@ -165,7 +167,9 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"send": w.send, "arrive": w.arrive, "arriveToo": w.arrive, "start": w.start, "startToo": w.start,
 			"finish": w.finish, "refuse": w.refuse, "resolve": w.resolve, "cancel": w.cancel,
-			"wait": w.wait, "restart": func(t *rapid.T) {
+			"wait": w.wait, "widen": func(t *rapid.T) {
+				w.node.Widen(w.now, time.Duration(rapid.IntRange(1, 5).Draw(t, "minutes"))*time.Minute)
+			}, "restart": func(t *rapid.T) {
 				if rapid.IntRange(0, 3).Draw(t, "really") == 0 {
 					w.restart(t)
 				}
@@ -222,6 +226,57 @@
 	require.Equal(t, call.OutcomeUnknown, v.Outcome)
 }
 
+func TestWidenDoesNotBringBackWhatWasForgotten(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := fence.New[string](7, limits)
+	first := attempt(1, true, now)
+	require.True(t, f.Arrive(now, first).Admitted())
+	require.True(t, f.Start(first))
+	f.Finish(first, nil, 0)
+
+	late := now.Add(2 * limits.AnswerMemory)
+	f.Widen(late, 10*limits.AnswerMemory)
+	again := attempt(2, true, now)
+	again.Issued = late
+	require.Equal(t, call.ReasonTicketExpired, f.Arrive(late, again).Reason)
+
+	newer := attempt(1, true, late)
+	require.True(t, f.Arrive(late, newer).Admitted())
+	require.True(t, f.Start(newer))
+	answer := "kept"
+	f.Finish(newer, &answer, 4)
+	later := late.Add(5 * limits.AnswerMemory)
+	repeated := attempt(2, true, late)
+	repeated.Issued = later
+	require.Equal(t, &answer, f.Arrive(later, repeated).Answer)
+}
+
+func TestOldestAnswersGoFirstAndOperationsStay(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := fence.New[string](7, limits)
+	answer := "signed"
+	for i := range limits.Operations {
+		a := fence.Attempt{Op: call.ID(fmt.Sprint(i)), Number: 1, Issued: now, Once: true, Opened: now, Incarnation: 7}
+		require.True(t, f.Arrive(now, a).Admitted())
+		require.True(t, f.Start(a))
+		f.Finish(a, &answer, limits.AnswerBytes/10)
+	}
+	kept := 0
+	for i := range limits.Operations {
+		v := f.Arrive(now, fence.Attempt{Op: call.ID(fmt.Sprint(i)), Number: 2, Issued: now, Once: true, Opened: now, Incarnation: 7})
+		require.Equal(t, fence.StateDone, v.State)
+		if v.Answer != nil {
+			kept++
+		}
+	}
+	require.Equal(t, 10, kept)
+
+	v := f.Arrive(now, attempt(1, true, now))
+	require.Equal(t, call.ReasonBufferFull, v.Reason)
+	require.Equal(t, call.OutcomeNotRun, v.Outcome)
+	require.True(t, f.Arrive(now, attempt(2, false, now)).Admitted())
+}
+
 func TestAnotherIncarnationPromisesNothing(t *testing.T) {
 	now := time.Unix(1000, 0)
 	f := fence.New[string](8, limits)
--- a/pkg/fence/memory.go
+++ b/pkg/fence/memory.go
@@ -4,7 +4,9 @@
 
 // memory remembers values by key in buckets of time, and forgets a whole bucket at once.
 type memory[K comparable, V any] struct {
-	span    time.Duration
+	span time.Duration
+	// floor is the time up to which values may have been forgotten under a shorter span.
+	floor   time.Time
 	width   time.Duration
 	buckets map[int64]map[K]V
 	size    int
@@ -38,7 +40,18 @@
 
 // covers reports whether everything of that time is still remembered at now.
 func (m *memory[K, V]) covers(now, at time.Time) bool {
-	return at.After(now.Add(-m.span)) && at.Before(now.Add(m.span))
+	return at.After(m.floor) && at.After(now.Add(-m.span)) && at.Before(now.Add(m.span))
+}
+
+// widen remembers longer from now on.
+func (m *memory[K, V]) widen(now time.Time, span time.Duration) {
+	if span <= m.span {
+		return
+	}
+	if forgotten := now.Add(-m.span); forgotten.After(m.floor) {
+		m.floor = forgotten
+	}
+	m.span = span
 }
 
 // expire forgets the buckets that covers refuses whole, and hands their values to drop.
