Refuse in-vain kinds at the first hop and keep slots for vital calls behind slow ones

Change: executing nodes learn per kind the rank below which their own calls are refused, and entries refuse such calls at once; where slots come free more seldom than the queue time, the recent need of vital calls stays free; streams neither count nor press.

--- a/internal/entry/adapt.go
+++ b/internal/entry/adapt.go
@@ -104,7 +104,7 @@
 		s.members, s.entries, s.updated = members, entries, true
 	}
 	s.table.SetSettings(settings)
-	choice, refusal := s.table.Pick(now, route.Query{Rank: query.Rank, Exclude: query.Tried})
+	choice, refusal := s.table.Pick(now, route.Query{Rank: query.Rank, Kind: query.Policy.Kind, Exclude: query.Tried})
 	if refusal != nil {
 		return Choice{}, refusal
 	}
@@ -125,7 +125,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	sample := route.Sample{Verdict: verdictOf(result)}
+	sample := route.Sample{Verdict: verdictOf(result), Kind: result.Kind}
 	if result.HasFeedback {
 		sample.Feedback = &result.Feedback
 	}
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -30,6 +30,7 @@
 // Result is what an entry saw of one attempt.
 type Result struct {
 	Service string
+	Kind    string
 	Target  string
 	// Incarnation is the one of the target that was chosen.
 	Incarnation uint64
@@ -44,8 +45,9 @@
 }
 
 // of returns the result with the target that it is about.
-func (r Result) of(service string, target member.Entry) Result {
-	r.Service = service
+func (r Result) of(policy tree.Policy, target member.Entry) Result {
+	r.Service = policy.Service
+	r.Kind = policy.Kind
 	r.Target = target.ID
 	r.Incarnation = target.Incarnation
 
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -136,7 +136,7 @@
 // release tells the chooser that its choice was not used.
 func (r *request) release(target member.Entry, reason call.Reason) {
 	result := Result{Outcome: call.OutcomeNotRun, Reason: reason}
-	r.entry.options.Chooser.Done(time.Now(), result.of(r.policy.Service, target))
+	r.entry.options.Chooser.Done(time.Now(), result.of(r.policy, target))
 }
 
 func (r *request) identify(c context.Context, target member.Entry) uint64 {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -116,12 +116,12 @@
 	paid := r.pay(c)
 	if !paid.OK() {
 		result := Result{Outcome: call.OutcomeNotRun, Reason: paid.Reason}
-		r.done(result.of(r.policy.Service, choice.Target))
+		r.done(result.of(r.policy, choice.Target))
 
 		return nil, choice.Target, call.NewRefusal(call.OutcomeNotRun, paid.Reason).WithFinal()
 	}
 	answer := &relay.Answer{}
-	result := r.send(c, choice.Target, paid.Grant, answer).of(r.policy.Service, choice.Target)
+	result := r.send(c, choice.Target, paid.Grant, answer).of(r.policy, choice.Target)
 	result.Took = time.Since(now)
 	r.book(paid, result, answer)
 	r.done(result)
@@ -297,6 +297,7 @@
 func failureOf(result Result) *call.Refusal {
 	refusal := call.NewRefusal(result.Outcome, result.Reason).WithRetryAfter(result.Feedback.RetryAfter)
 	refusal.Final = result.Feedback.Final
+	refusal.Threshold = max(result.Feedback.Threshold, result.Feedback.KindThreshold)
 
 	return refusal
 }
--- a/internal/exec/adapt.go
+++ b/internal/exec/adapt.go
@@ -37,6 +37,7 @@
 	gate    *admit.Gate
 	limiter *limit.Limiter
 	bounds  limit.Bounds
+	kinds   *admit.Kinds
 	sizes   sizes
 	waiters map[call.ID]chan admit.Decision
 	next    uint64
@@ -55,6 +56,7 @@
 		gate:    admit.New(gateSettings(policy), limiter.Limit(), rng),
 		limiter: limiter,
 		bounds:  bounds,
+		kinds:   admit.NewKinds(),
 		sizes:   sizes{},
 		waiters: map[call.ID]chan admit.Decision{},
 	}
@@ -75,13 +77,20 @@
 	return admission, nil
 }
 
-// Pressure returns the load at this moment.
-func (a *AdaptiveAdmitter) Pressure() Pressure {
+// Pressure returns the load at this moment, with the rank below which calls of the kind are in vain.
+func (a *AdaptiveAdmitter) Pressure(kind string) Pressure {
+	now := time.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	load := a.gate.Load()
 
-	return Pressure{Threshold: load.Threshold, Inflight: load.Running, Queued: load.Queued, Limit: load.Limit}
+	return Pressure{
+		Threshold:     load.Threshold,
+		KindThreshold: a.kinds.Threshold(now, kind),
+		Inflight:      load.Running,
+		Queued:        load.Queued,
+		Limit:         load.Limit,
+	}
 }
 
 func (a *AdaptiveAdmitter) offer(item Item) (call.ID, <-chan admit.Decision) {
@@ -188,6 +197,11 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 
+	if finished.Below > 0 {
+		a.kinds.Refused(now, item.Policy.Kind, item.Envelope.Rank, finished.Below)
+	} else if verdictOf(finished) == limit.VerdictOK {
+		a.kinds.Done(now, item.Policy.Kind, item.Envelope.Rank)
+	}
 	if finished.Load >= 0 {
 		a.limiter.Report(now, finished.Load)
 	}
--- a/internal/exec/adapt_test.go
+++ b/internal/exec/adapt_test.go
@@ -55,7 +55,7 @@
 	require.EqualValues(t, 300, admitted.Load()+refused.Load())
 	require.Positive(t, admitted.Load())
 	require.LessOrEqual(t, most.Load(), int64(4))
-	pressure := a.Pressure()
+	pressure := a.Pressure("bulk")
 	require.Zero(t, pressure.Inflight)
 	require.Zero(t, pressure.Queued)
 }
--- a/internal/exec/admit.go
+++ b/internal/exec/admit.go
@@ -40,22 +40,27 @@
 	// Status is the HTTP status of the answer, zero for none, and Bytes the size of its body.
 	Status int
 	Bytes  int64
+	// Below is the lowest rank that a service below takes, if it refused a call of this one.
+	Below call.Rank
 }
 
 // Pressure is what an executing node tells about its load with each answer.
 type Pressure struct {
 	Threshold call.Rank
-	Inflight  int
-	Queued    int
-	Limit     int
+	// KindThreshold is the lowest rank of the kind that is worth running.
+	KindThreshold call.Rank
+
+	Inflight int
+	Queued   int
+	Limit    int
 }
 
 // Admitter decides which calls run, and when.
 type Admitter interface {
 	// Admit returns once the call may run, or with the refusal.
 	Admit(ctx context.Context, item Item) (Admission, *call.Refusal)
-	// Pressure returns the load at this moment.
-	Pressure() Pressure
+	// Pressure returns the load at this moment, with what concerns calls of the kind.
+	Pressure(kind string) Pressure
 }
 
 // FixedAdmitter is the baseline: as many calls as there are slots, the rest wait in order until their deadline.
@@ -85,7 +90,7 @@
 }
 
 // Pressure returns the number of calls that run and wait.
-func (a *FixedAdmitter) Pressure() Pressure {
+func (a *FixedAdmitter) Pressure(string) Pressure {
 	return Pressure{Inflight: int(a.inflight.Load()), Queued: int(a.queued.Load()), Limit: cap(a.slots)}
 }
 
--- a/internal/exec/answer.go
+++ b/internal/exec/answer.go
@@ -61,6 +61,7 @@
 		feedback.Final = true
 		feedback.Reason = refused.Reason
 		feedback.RetryAfter = refused.RetryAfter
+		finished.Below = refused.Threshold
 	}
 	x.feedback(feedback)
 
@@ -112,10 +113,11 @@
 
 // feedback completes and sends what the entry learns of this node.
 func (x *execution) feedback(feedback call.Feedback) {
-	pressure := x.exec.options.Admitter.Pressure()
+	pressure := x.exec.options.Admitter.Pressure(x.policy.Kind)
 	feedback.Unspent = x.unspent.Attempts
 	feedback.UnspentRetries = x.unspent.Retries
 	feedback.Threshold = pressure.Threshold
+	feedback.KindThreshold = pressure.KindThreshold
 	feedback.Inflight = pressure.Inflight
 	feedback.Queued = pressure.Queued
 	feedback.Limit = pressure.Limit
--- a/pkg/admit/gate.go
+++ b/pkg/admit/gate.go
@@ -34,6 +34,7 @@
 	crowd     *crowd
 	estimates *estimates
 	threshold threshold
+	reserve   reserve
 	streams   int
 	bytes     int64
 	// shortPeak is the recent peak of short calls that ran or waited at once.
@@ -71,13 +72,15 @@
 // Offer decides on an item and on those that it displaces; the last decision on an item counts.
 func (g *Gate) Offer(now time.Time, item Item) []Decision {
 	g.threshold.roll(now)
-	g.threshold.arrive(item.Rank)
+	if !item.Stream {
+		g.threshold.arrive(item.Rank)
+	}
 	g.agePeak(now)
 	if reason := g.hopeless(now, &item); reason != "" {
 		return []Decision{g.refusal(&item, reason, 0)}
 	}
 	if !g.fits(&item) {
-		g.threshold.pressed++
+		g.press(&item)
 
 		return []Decision{g.refusal(&item, call.ReasonBufferFull, 0)}
 	}
@@ -97,12 +100,14 @@
 		return g.cancel(now, op)
 	}
 	delete(g.running, op)
+	g.reserve.stop(&ended.item)
 	if ended.item.Stream {
 		g.streams--
 	} else {
 		g.estimates.learn(now, ended.item.Kind, now.Sub(ended.since), result)
+		g.reserve.ended(&ended.item, now.Sub(ended.since))
+		g.threshold.finished++
 	}
-	g.threshold.finished++
 	g.leave(&ended.item)
 
 	return g.fill(now, nil)
@@ -143,6 +148,7 @@
 func (g *Gate) enter(item *Item) {
 	g.crowd.add(item.key())
 	g.bytes += item.Bytes
+	g.reserve.enter(item)
 	if item.Stream {
 		return
 	}
@@ -160,12 +166,21 @@
 	if windows > 0 {
 		g.peakAt = now
 		g.shortPeak *= math.Pow(peakAgeing, float64(windows))
+		g.reserve.age(windows)
 	}
 }
 
 func (g *Gate) leave(item *Item) {
 	g.crowd.remove(item.key())
 	g.bytes -= item.Bytes
+	g.reserve.leave(item)
+}
+
+// press counts a refusal for load; streams have their own share of the slots and say nothing of the rest.
+func (g *Gate) press(item *Item) {
+	if !item.Stream {
+		g.threshold.pressed++
+	}
 }
 
 // fits reports whether the buffers have room for the item.
@@ -196,7 +211,7 @@
 
 // mayRun reports whether there is a slot for the item.
 func (g *Gate) mayRun(item *Item) bool {
-	if len(g.running) >= g.limit {
+	if len(g.running) >= g.limit-g.reserve.kept(item, g.limit, g.settings.QueueWait) {
 		return false
 	}
 	if !item.Stream {
@@ -213,6 +228,7 @@
 
 func (g *Gate) start(now time.Time, item *Item, waited time.Duration) Decision {
 	g.running[item.Op] = running{item: *item, since: now}
+	g.reserve.start(item)
 	if item.Stream {
 		g.streams++
 	}
--- a/pkg/admit/wait.go
+++ b/pkg/admit/wait.go
@@ -10,7 +10,7 @@
 func (g *Gate) enqueue(now time.Time, item Item) []Decision {
 	until := g.until(now, &item)
 	if g.expectedWait(&item) > until.Sub(now) {
-		g.threshold.pressed++
+		g.press(&item)
 		g.leave(&item)
 
 		return []Decision{g.refusal(&item, call.ReasonOverload, 0)}
@@ -32,7 +32,7 @@
 		reason = call.ReasonFairShare
 	}
 	g.leave(&w.item)
-	g.threshold.pressed++
+	g.press(&w.item)
 	refused := g.refusal(&w.item, reason, now.Sub(w.since))
 	if w.item.Op == decisions[0].Op {
 		return []Decision{refused}
@@ -96,7 +96,7 @@
 }
 
 func (g *Gate) drop(now time.Time, w *waiting, reason call.Reason) Decision {
-	g.threshold.pressed++
+	g.press(&w.item)
 	g.leave(&w.item)
 
 	return g.refusal(&w.item, reason, now.Sub(w.since))
--- a/pkg/call/envel.go
+++ b/pkg/call/envel.go
@@ -35,14 +35,16 @@
 	Reason  Reason  `json:"reason,omitempty"`
 	Unspent int     `json:"unspent,omitempty"`
 	// UnspentRetries is the part of the unspent credits that may go into retries.
-	UnspentRetries int    `json:"unspentRetries,omitempty"`
-	Threshold      Rank   `json:"threshold,omitempty"`
-	Inflight       int    `json:"inflight,omitempty"`
-	Queued         int    `json:"queued,omitempty"`
-	Limit          int    `json:"limit,omitempty"`
-	State          string `json:"state,omitempty"`
-	Incarnation    uint64 `json:"incarnation,omitempty"`
-	Revision       uint64 `json:"revision,omitempty"`
+	UnspentRetries int  `json:"unspentRetries,omitempty"`
+	Threshold      Rank `json:"threshold,omitempty"`
+	// KindThreshold is the lowest rank whose own calls get an answer, for the kind of this call.
+	KindThreshold Rank   `json:"kindThreshold,omitempty"`
+	Inflight      int    `json:"inflight,omitempty"`
+	Queued        int    `json:"queued,omitempty"`
+	Limit         int    `json:"limit,omitempty"`
+	State         string `json:"state,omitempty"`
+	Incarnation   uint64 `json:"incarnation,omitempty"`
+	Revision      uint64 `json:"revision,omitempty"`
 	// Digest is the xxhash of a buffered answer's body, zero for none.
 	Digest     uint64        `json:"digest,omitempty"`
 	RetryAfter time.Duration `json:"retryAfter,omitempty"`
--- a/pkg/call/refuse.go
+++ b/pkg/call/refuse.go
@@ -13,6 +13,8 @@
 	RetryAfter time.Duration
 	// Final says that no hop above may retry the call.
 	Final bool
+	// Threshold is the lowest rank that is taken at present, zero if unknown.
+	Threshold Rank
 }
 
 // NewRefusal returns a refusal with that outcome and reason.
@@ -34,6 +36,13 @@
 	return &r
 }
 
+// WithThreshold returns a copy that tells the lowest rank that is taken at present.
+func (r Refusal) WithThreshold(threshold Rank) *Refusal {
+	r.Threshold = threshold
+
+	return &r
+}
+
 // WithFinal returns a copy that no hop above may retry.
 func (r Refusal) WithFinal() *Refusal {
 	r.Final = true
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -20,6 +20,8 @@
 const (
 	// farCost is what a far target must be better by.
 	farCost = 0.1
+	// kindsMost bounds the kinds of one service that are remembered.
+	kindsMost = 256
 	// drainMemory is how long a refusal for draining is believed without news from membership.
 	drainMemory = 5 * time.Second
 )
@@ -40,6 +42,7 @@
 // Query is one call that needs a target.
 type Query struct {
 	Rank call.Rank
+	Kind string
 	// Exclude names targets that have already been tried.
 	Exclude []string
 }
@@ -63,6 +66,7 @@
 	targets  []*target
 	byID     map[string]*target
 	updated  bool
+	kinds    map[string]call.Fading
 
 	// nears and fars are the candidates of one choice, kept to save allocations.
 	nears []*target
@@ -71,7 +75,7 @@
 
 // New returns an empty table for the entry of that name in that data centre.
 func New(self, dataCentre string, rng *rand.Rand) *Table {
-	return &Table{self: self, near: dataCentre, rng: rng, byID: map[string]*target{}}
+	return &Table{self: self, near: dataCentre, rng: rng, byID: map[string]*target{}, kinds: map[string]call.Fading{}}
 }
 
 // Update takes the members of the service and the number of entries in the fleet; a new incarnation starts slowly.
@@ -116,11 +120,14 @@
 
 // Pick chooses a target and counts the attempt as its own until Done; below every target's threshold it refuses.
 func (t *Table) Pick(now time.Time, q Query) (Choice, *call.Refusal) {
+	if threshold := t.kinds[q.Kind].Rank(now); q.Rank < threshold {
+		return Choice{}, t.refuse(call.ReasonThreshold).WithThreshold(threshold)
+	}
 	below := t.collect(now, q, false)
 	reason := call.Reason("")
 	if len(t.nears)+len(t.fars) == 0 {
 		if below > 0 {
-			return Choice{}, t.refuse(call.ReasonThreshold)
+			return Choice{}, t.refuse(call.ReasonThreshold).WithThreshold(below)
 		}
 		t.collect(now, q, true)
 		reason = ReasonLastResort
@@ -152,6 +159,7 @@
 	}
 	known.inflight = max(known.inflight-1, 0)
 	known.note(now, s)
+	t.learn(now, s)
 	if s.Verdict != VerdictFault {
 		if s.Verdict == VerdictOK && known.ejections > 0 && !known.ejected(now) && known.fail(now) < failureGain {
 			known.ejections--
@@ -163,17 +171,35 @@
 	return t.eject(now, known)
 }
 
-// collect fills the candidates, and returns how many were left out only because of their threshold.
-func (t *Table) collect(now time.Time, q Query, ejected bool) int {
+// learn takes the rank below which calls of the kind are in vain, wherever they run.
+func (t *Table) learn(now time.Time, s Sample) {
+	if s.Feedback == nil || s.Kind == "" {
+		return
+	}
+	if s.Feedback.KindThreshold == 0 {
+		delete(t.kinds, s.Kind)
+
+		return
+	}
+	if len(t.kinds) >= kindsMost {
+		clear(t.kinds)
+	}
+	t.kinds[s.Kind] = call.NewFading(now, s.Feedback.KindThreshold)
+}
+
+// collect fills the candidates, and returns the lowest threshold of those that were left out only because of it.
+func (t *Table) collect(now time.Time, q Query, ejected bool) call.Rank {
 	t.nears = t.nears[:0]
 	t.fars = t.fars[:0]
-	below := 0
+	below := call.Rank(0)
 	for _, known := range t.targets {
 		if !t.eligible(now, known, q) || known.ejected(now) != ejected {
 			continue
 		}
-		if q.Rank < known.threshold(now) {
-			below++
+		if threshold := known.report.wants.Rank(now); q.Rank < threshold {
+			if below == 0 || threshold < below {
+				below = threshold
+			}
 
 			continue
 		}
--- a/pkg/route/target.go
+++ b/pkg/route/target.go
@@ -9,15 +9,13 @@
 )
 
 const (
-	reportAge     = time.Second
-	thresholdHold = 250 * time.Millisecond
-	thresholdFade = time.Second
-	failureGain   = 0.2
-	failureHalf   = time.Second
-	failureCost   = 2.0
-	weightFirst   = 0.1
-	unknownSlots  = 64
-	ejectLongest  = 30 * time.Second
+	reportAge    = time.Second
+	failureGain  = 0.2
+	failureHalf  = time.Second
+	failureCost  = 2.0
+	weightFirst  = 0.1
+	unknownSlots = 64
+	ejectLongest = 30 * time.Second
 	// outlier is how much more a target must fail than the others to be ejected.
 	outlier = 2.0
 )
@@ -60,17 +58,18 @@
 // Sample is one finished attempt.
 type Sample struct {
 	Verdict Verdict
+	Kind    string
 	// Feedback is what rode back on the answer, nil for none.
 	Feedback *call.Feedback
 }
 
 // report is the load that a target told of itself.
 type report struct {
-	at        time.Time
-	load      int
-	limit     int
-	threshold call.Rank
-	draining  bool
+	at       time.Time
+	load     int
+	limit    int
+	wants    call.Fading
+	draining bool
 }
 
 // target is what this entry knows of one executing node.
@@ -137,28 +136,15 @@
 	return t.used(now)/t.weight(now, slowStart) + failureCost*t.fail(now)
 }
 
-// threshold returns the lowest rank that the target wants, which fades without news.
-func (t *target) threshold(now time.Time) call.Rank {
-	age := now.Sub(t.report.at) - thresholdHold
-	if t.report.threshold == 0 || age >= thresholdFade {
-		return 0
-	}
-	if age <= 0 {
-		return t.report.threshold
-	}
-
-	return call.Rank(float64(t.report.threshold) * (1 - float64(age)/float64(thresholdFade)))
-}
-
 // note takes a finished attempt.
 func (t *target) note(now time.Time, s Sample) {
 	if s.Feedback != nil {
 		t.report = report{
-			at:        now,
-			load:      s.Feedback.Inflight + s.Feedback.Queued,
-			limit:     s.Feedback.Limit,
-			threshold: s.Feedback.Threshold,
-			draining:  s.Feedback.State == string(member.StateDraining),
+			at:       now,
+			load:     s.Feedback.Inflight + s.Feedback.Queued,
+			limit:    s.Feedback.Limit,
+			wants:    call.NewFading(now, s.Feedback.Threshold),
+			draining: s.Feedback.State == string(member.StateDraining),
 		}
 	}
 	switch s.Verdict {
