--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -96,11 +96,9 @@
 	if policy.Once {
 		run = r.runOnce
 	}
-	refusal := run(c)
-	if refusal != nil {
+	if refusal := run(c); refusal != nil {
 		r.refuse(refusal)
 	}
-	e.goodput.Note(policy.Priority, ctx.Response.StatusCode(), refusal)
 }
 
 // deadline returns the earlier of the inherited deadline and the one that the caller states.
--- a/internal/fake/caller.go
+++ b/internal/fake/caller.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/pistachiotack/pistachiotack/internal/wire"
 )
 
 // idleConnections is the number of connections kept to one host.
@@ -96,12 +98,12 @@
 	if err != nil {
 		return 0, nil, errors.Wrap(err, "make request")
 	}
-	request.Header.Set(HeaderService, hop.Service)
+	request.Header.Set(wire.HeaderService, hop.Service)
 	if parent != "" {
-		request.Header.Set(HeaderParent, parent)
+		request.Header.Set(wire.HeaderParent, parent)
 	}
 	if limit, ok := ctx.Deadline(); ok {
-		request.Header.Set(HeaderTimeout, time.Until(limit).String())
+		request.Header.Set(wire.HeaderTimeout, time.Until(limit).String())
 	}
 	response, err := client.Do(request)
 	if err != nil {
--- a/internal/fake/ledger.go
+++ b/internal/fake/ledger.go
@@ -54,7 +54,7 @@
 	return l.requests[id]
 }
 
-// KeyRuns returns how often the idempotency key was executed.
+// KeyRuns returns how often the request with that mark or idempotency key was executed.
 func (l *Ledger) KeyRuns(key string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -70,7 +70,7 @@
 	return l.operations[operation]
 }
 
-// RepeatedKeys returns the number of idempotency keys with that prefix that were executed more than once.
+// RepeatedKeys returns the number of marks and idempotency keys with that prefix that were executed more than once.
 func (l *Ledger) RepeatedKeys(prefix string) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/fake/serve.go
+++ b/internal/fake/serve.go
@@ -1,6 +1,7 @@
 package fake
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"strconv"
@@ -8,21 +9,8 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cockroachdb/errors"
-)
 
-// Headers that callers, nodes and backend servers exchange.
-const (
-	HeaderParent    = "Pistachiotack-Parent"
-	HeaderOperation = "Pistachiotack-Operation"
-	HeaderTimeout   = "Pistachiotack-Timeout"
-	HeaderLoad      = "Pistachiotack-Load"
-	HeaderDraining  = "Pistachiotack-Draining"
-	HeaderOutcome   = "Pistachiotack-Outcome"
-	HeaderService   = "Pistachiotack-Service"
-	HeaderKey       = "Idempotency-Key"
-	// HeaderRetryAfter counts whole seconds, HeaderRetryAfterFine is a Go duration.
-	HeaderRetryAfter     = "Retry-After"
-	HeaderRetryAfterFine = "Pistachiotack-Retry-After"
+	"github.com/pistachiotack/pistachiotack/internal/wire"
 )
 
 // Query parameters that mark requests of the bench: which one, and whether it is a hop.
@@ -31,6 +19,9 @@
 	queryHop     = "hop"
 )
 
+// HeaderRequest marks all tries of one request of a bench's caller, with or without an idempotency key.
+const HeaderRequest = "Fake-Request"
+
 // visit is one request as it arrived.
 type visit struct {
 	request   string
@@ -71,9 +62,9 @@
 func newVisit(c *app.RequestContext, route Route) visit {
 	v := visit{
 		request:   c.Query(QueryRequest),
-		key:       string(c.GetHeader(HeaderKey)),
-		operation: string(c.GetHeader(HeaderOperation)),
-		parent:    string(c.GetHeader(HeaderParent)),
+		key:       cmp.Or(string(c.GetHeader(HeaderRequest)), string(c.GetHeader(wire.HeaderIdempotencyKey))),
+		operation: string(c.GetHeader(wire.HeaderOperation)),
+		parent:    string(c.GetHeader(wire.HeaderParent)),
 		hop:       c.Query(queryHop) != "",
 		route:     route,
 	}
@@ -97,14 +88,14 @@
 
 // report adds what the server says of itself to an answer.
 func (s *Server) report(c *app.RequestContext) {
-	c.Header(HeaderLoad, strconv.FormatFloat(s.load(), 'f', 3, 64))
+	c.Header(wire.HeaderLoad, strconv.FormatFloat(s.load(), 'f', 3, 64))
 	if s.Behaviour().Draining {
-		c.Header(HeaderDraining, "true")
+		c.Header(wire.HeaderDraining, "true")
 	}
 }
 
 func deadline(ctx context.Context, c *app.RequestContext) (context.Context, context.CancelFunc) {
-	remaining, err := time.ParseDuration(string(c.GetHeader(HeaderTimeout)))
+	remaining, err := time.ParseDuration(string(c.GetHeader(wire.HeaderTimeout)))
 	if err != nil {
 		return context.WithCancel(ctx)
 	}
@@ -131,8 +122,8 @@
 
 func (s *Server) shed(c *app.RequestContext) {
 	s.ledger.add(c.Query(QueryRequest), func(_ *Record, t *Totals) { t.Shed++ })
-	c.Header(HeaderOutcome, "notRun")
-	c.Header(HeaderRetryAfter, "1")
+	c.Header(wire.HeaderOutcome, "notRun")
+	c.Header(wire.HeaderRetryAfter, "1")
 	c.String(http.StatusServiceUnavailable, "no slot\n")
 }
 
--- a/internal/holder/current.go
+++ b/internal/holder/current.go
@@ -40,9 +40,9 @@
 	until    time.Time
 }
 
-// NewCurrent holds the tree that serves until a revision is accepted.
-func NewCurrent(initial *tree.Snapshot) Current {
-	return Current{accepted: initial}
+// NewCurrent holds no tree, at revision zero.
+func NewCurrent() Current {
+	return Current{accepted: tree.Empty()}
 }
 
 // Record returns the accepted revision.
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -40,8 +40,6 @@
 	Put(ctx context.Context, key string, value []byte, etag string) (string, error)
 	Insert(ctx context.Context, key string, value []byte) (string, error)
 	List(ctx context.Context, prefix, after string) ([]store.Row, error)
-	// Configured reports whether there is a table at all.
-	Configured() bool
 }
 
 // Control calls the holders of other nodes.
@@ -75,9 +73,7 @@
 	Exchange time.Duration
 	// Lease is how long a proposal acts on a node without word from its coordinator.
 	Lease time.Duration
-	// Initial serves until a revision is accepted, nil for the defaults.
-	Initial *tree.Snapshot
-	Log     *slog.Logger
+	Log   *slog.Logger
 }
 
 func (o Options) withDefaults() Options {
@@ -90,9 +86,6 @@
 	if o.Lease <= 0 {
 		o.Lease = defaultLease
 	}
-	if o.Initial == nil {
-		o.Initial = tree.Empty()
-	}
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
@@ -130,10 +123,9 @@
 
 // New returns a holder without a tree, at revision zero.
 func New(options Options) *Holder {
-	options = options.withDefaults()
 	h := &Holder{
-		options:   options,
-		current:   NewCurrent(options.Initial),
+		options:   options.withDefaults(),
+		current:   NewCurrent(),
 		proposing: make(chan struct{}, 1),
 		spread:    make(chan struct{}, 1),
 		done:      make(chan error, 1),
@@ -176,7 +168,7 @@
 	if h.fleet, err = kernel.Find[Fleet](k, "gossip"); err != nil {
 		return err
 	}
-	if table, err := kernel.Find[Table](k, store.Name); err == nil && table.Configured() {
+	if table, err := kernel.Find[Table](k, store.Name); err == nil {
 		h.book = &book{table: table}
 	}
 	if tracer, err := kernel.Find[Tracer](k, trace.Name); err == nil {
--- a/internal/load/book.go
+++ b/internal/load/book.go
@@ -97,8 +97,10 @@
 	if last.verdict == verdictGood {
 		b.good(in, from, took)
 	}
-	for _, each := range tries {
-		b.ends = append(b.ends, ended{id: each.id, outcome: each.outcome, good: each.verdict == verdictGood})
+	for i, each := range tries {
+		if i+1 == len(tries) || tries[i+1].id != each.id {
+			b.ends = append(b.ends, ended{id: each.id, outcome: each.outcome, good: each.verdict == verdictGood})
+		}
 		if each.verdict == verdictRefused || each.verdict == verdictFailed {
 			b.refusals[refusalKey{reason: each.reason, outcome: each.outcome}]++
 		}
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -26,6 +26,7 @@
 const (
 	hardPause    = 10 * time.Millisecond
 	hardTries    = 50
+	oncePause    = 200 * time.Millisecond
 	naiveRetries = 3
 	// NaiveTimeout is the timeout of each try without any layer.
 	NaiveTimeout = time.Second
@@ -61,10 +62,15 @@
 	ctx, cancel := context.WithTimeout(ctx, c.kind.Deadline)
 	defer cancel()
 
+	to := target{kind: c.kind, path: c.kind.path(c.from.object), mark: fmt.Sprintf("%s.%d", c.prefix, c.from.number)}
+	if c.keyed() {
+		to.key = to.mark
+	}
+	to.id = to.mark + ".0"
 	var tries []try
-	for number := 0; ; number++ {
-		tries = append(tries, c.try(ctx, number))
-		last := tries[len(tries)-1]
+	for {
+		last := c.try(ctx, to, uint64(len(tries)))
+		tries = append(tries, last)
 		if last.verdict == verdictGood || ctx.Err() != nil {
 			return tries
 		}
@@ -72,26 +78,37 @@
 		if !again || !sleepWithin(ctx, wait) {
 			return tries
 		}
+		to = c.next(to, last, len(tries))
+	}
+}
+
+// keyed gives every other once request an idempotency key; those between hold tickets.
+func (c caller) keyed() bool {
+	return c.kind.Once && (c.from.number%2 == 0 || c.manner == MannerNaive)
+}
+
+// next repeats a once request whose outcome is not known, any other try is a request of its own.
+func (c caller) next(to target, last try, number int) target {
+	if c.kind.Once && last.outcome != call.OutcomeNotRun && c.manner != MannerNaive {
+		to.ticket = last.ticket
+
+		return to
 	}
+	to.ticket = ""
+	to.id = fmt.Sprintf("%s.%d", to.mark, number)
+
+	return to
 }
 
-func (c caller) try(ctx context.Context, number int) try {
+func (c caller) try(ctx context.Context, to target, number uint64) try {
 	if c.manner == MannerNaive {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, max(NaiveTimeout, c.archiveTime()))
 		defer cancel()
 	}
-	to := target{
-		kind: c.kind,
-		path: c.kind.path(c.from.object),
-		id:   fmt.Sprintf("%s.%d.%d", c.prefix, c.from.number, number),
-	}
-	if c.kind.Once {
-		to.key = fmt.Sprintf("%s.%d", c.prefix, c.from.number)
-	}
 	var done try
 	for i := range uint64(connectTries) {
-		to.entry = c.picker.Entry(c.kind.Service, c.from.entry+i+uint64(number))
+		to.entry = c.picker.Entry(c.kind.Service, c.from.entry+i+number)
 		if done = send(ctx, c.client, to); done.verdict != verdictConnect {
 			break
 		}
@@ -111,21 +128,28 @@
 
 // again says whether and after which wait the caller asks again.
 func (c caller) again(tries int, last try) (time.Duration, bool) {
-	if c.kind.Once && c.manner != MannerHard && c.manner != MannerNaive && last.outcome != call.OutcomeNotRun {
-		return 0, false
-	}
 	switch c.manner {
 	case MannerHard:
 		return hardPause, tries < hardTries
 	case MannerNaive:
 		return 0, tries <= naiveRetries
 	case MannerPatient:
-		return last.retryAfter, last.retryAfter > 0
+		return c.patience(last)
 	default:
 		return 0, false
 	}
 }
 
+// patience waits as the refusal says; a once request is repeated by ticket or key until its outcome is known.
+func (c caller) patience(last try) (time.Duration, bool) {
+	unknown := last.outcome == call.OutcomeUnknown || last.outcome == ""
+	if c.kind.Once && unknown && (c.keyed() || last.ticket != "") {
+		return max(oncePause, last.retryAfter), true
+	}
+
+	return last.retryAfter, last.retryAfter > 0
+}
+
 // sleepWithin returns false at once if the wait goes past the deadline.
 func sleepWithin(ctx context.Context, wait time.Duration) bool {
 	limit, ok := ctx.Deadline()
--- a/internal/load/try.go
+++ b/internal/load/try.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net/http"
@@ -11,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pistachiotack/pistachiotack/internal/fake"
+	"github.com/pistachiotack/pistachiotack/internal/wire"
 	"github.com/pistachiotack/pistachiotack/pkg/call"
 )
 
@@ -45,6 +47,8 @@
 	outcome    call.Outcome
 	reason     string
 	retryAfter time.Duration
+	// ticket is the URL under which a once request may be repeated, empty for none.
+	ticket string
 }
 
 // target says where one try goes.
@@ -53,7 +57,10 @@
 	entry string
 	path  string
 	id    string
-	key   string
+	// mark is the same for all tries of a request, key is sent as its idempotency key.
+	mark   string
+	key    string
+	ticket string
 }
 
 func (t target) uri() string {
@@ -70,18 +77,17 @@
 
 // send makes one try and follows the tickets that an entry hands out.
 func send(ctx context.Context, client *http.Client, to target) try {
-	uri := to.uri()
 	for range maxTickets {
-		response, err := exchange(ctx, client, to, uri)
+		response, err := exchange(ctx, client, to)
 		if err != nil {
-			return try{id: to.id, verdict: broken(ctx, err)}
+			return try{id: to.id, ticket: to.ticket, verdict: broken(ctx, err)}
 		}
-		ticket := response.Header.Get("Location")
-		if response.StatusCode != http.StatusTemporaryRedirect || ticket == "" {
+		location := response.Header.Get("Location")
+		if response.StatusCode != http.StatusTemporaryRedirect || location == "" {
 			return judge(ctx, to, response)
 		}
 		_ = response.Body.Close()
-		uri = ticketPath(ticket)
+		to.ticket = ticketPath(location)
 	}
 
 	return try{id: to.id, verdict: verdictFailed, reason: "ticket loop"}
@@ -97,17 +103,20 @@
 	return location
 }
 
-func exchange(ctx context.Context, client *http.Client, to target, uri string) (*http.Response, error) {
-	request, err := http.NewRequestWithContext(ctx, to.kind.Method, "http://"+to.entry+uri, http.NoBody)
+func exchange(ctx context.Context, client *http.Client, to target) (*http.Response, error) {
+	request, err := http.NewRequestWithContext(ctx, to.kind.Method, "http://"+to.entry+cmp.Or(to.ticket, to.uri()), http.NoBody)
 	if err != nil {
 		return nil, errors.Wrap(err, "make request")
 	}
-	request.Header.Set(fake.HeaderService, to.kind.Service)
+	request.Header.Set(wire.HeaderService, to.kind.Service)
+	if to.kind.Once {
+		request.Header.Set(fake.HeaderRequest, to.mark)
+	}
 	if to.key != "" {
-		request.Header.Set(fake.HeaderKey, to.key)
+		request.Header.Set(wire.HeaderIdempotencyKey, to.key)
 	}
 	if limit, ok := ctx.Deadline(); ok {
-		request.Header.Set(fake.HeaderTimeout, time.Until(limit).String())
+		request.Header.Set(wire.HeaderTimeout, time.Until(limit).String())
 	}
 
 	return client.Do(request)
@@ -129,7 +138,7 @@
 // judge reads the answer and compares it with what the request must get.
 func judge(ctx context.Context, to target, response *http.Response) try {
 	defer func() { _ = response.Body.Close() }()
-	done := try{id: to.id, outcome: call.Outcome(response.Header.Get(fake.HeaderOutcome)), retryAfter: retryAfter(response.Header)}
+	done := try{id: to.id, ticket: to.ticket, outcome: call.Outcome(response.Header.Get(wire.HeaderOutcome)), retryAfter: retryAfter(response.Header)}
 	if response.StatusCode != http.StatusOK {
 		problem, _ := io.ReadAll(io.LimitReader(response.Body, maxProblem))
 		done.reason = reasonIn(string(problem), response.StatusCode)
@@ -168,10 +177,10 @@
 }
 
 func retryAfter(header http.Header) time.Duration {
-	if fine, err := time.ParseDuration(header.Get(fake.HeaderRetryAfterFine)); err == nil {
+	if fine, err := time.ParseDuration(header.Get(wire.HeaderRetryAfterFine)); err == nil {
 		return fine
 	}
-	seconds, err := strconv.Atoi(header.Get(fake.HeaderRetryAfter))
+	seconds, err := strconv.Atoi(header.Get(wire.HeaderRetryAfter))
 	if err != nil {
 		return 0
 	}
