--- a/internal/holder/edit.go
+++ b/internal/holder/edit.go
@@ -81,6 +81,8 @@
 func (h *Holder) ground(ctx context.Context) (ground, error) {
 	head, etag, err := h.book.head(ctx)
 	if err != nil {
+		h.lost(ctx, err)
+
 		return ground{}, err
 	}
 	if head.Revision > h.Record().Revision {
--- a/internal/holder/fleet_test.go
+++ b/internal/holder/fleet_test.go
@@ -110,6 +110,7 @@
 	roster   *roster
 	options  holder.Options
 	nodes    []node
+	controls []*peers.Service
 }
 
 func newFleet(t testing.TB, size int) *fleet {
@@ -153,6 +154,7 @@
 	n := node{Holder: h, stop: sync.OnceFunc(func() { _, _ = h.Stop(ctx), control.Stop(ctx) })}
 	f.t.Cleanup(n.stop)
 	f.nodes = append(f.nodes, n)
+	f.controls = append(f.controls, control)
 
 	return n
 }
--- a/pkg/trial/judge.go
+++ b/pkg/trial/judge.go
@@ -37,6 +37,15 @@
 	return float64(c.Good) / float64(c.Offered)
 }
 
+// String returns the count in words.
+func (c Count) String() string {
+	if c.Offered == 0 {
+		return "no important requests"
+	}
+
+	return fmt.Sprintf("%d of %d important requests good (%.1f%%)", c.Good, c.Offered, 100*c.Share())
+}
+
 // View is what one kind of place saw, entries or executing nodes, on nodes with and without the proposal.
 type View struct {
 	Name    string
@@ -110,14 +119,14 @@
 }
 
 func judgeUnseen(guard Guard, elapsed time.Duration, views []View) Verdict {
-	detail := describeAll(guard, views)
+	detail := fmt.Sprintf("fewer than %d important requests on trial; %s", minEvidence, describeAll(guard, views))
 	switch {
 	case guard.Untested:
 		return Verdict{Action: ActionAccept, Reason: ReasonUntested, Detail: detail}
 	case elapsed < patience*guard.Time:
 		return Verdict{Action: ActionWait}
 	default:
-		return Verdict{Action: ActionRefuse, Reason: ReasonNoTraffic, Detail: detail}
+		return Verdict{Action: ActionRefuse, Reason: ReasonNoTraffic, Detail: detail + "; propose it as untested to accept it all the same"}
 	}
 }
 
@@ -134,8 +143,7 @@
 }
 
 func (v View) describe(guard Guard) string {
-	return fmt.Sprintf("%s: on trial %d of %d important requests good (%.1f%%), elsewhere %d of %d (%.1f%%), guard %.1f%%",
-		v.Name, v.Trial.Good, v.Trial.Offered, 100*v.Trial.Share(), v.Control.Good, v.Control.Offered, 100*v.Control.Share(), 100*guard.Goodput)
+	return fmt.Sprintf("%s: on trial %s, elsewhere %s, guard %.1f%%", v.Name, v.Trial, v.Control, 100*guard.Goodput)
 }
 
 func describeAll(guard Guard, views []View) string {
