--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pistachiotack/pistachiotack/pkg/trial"
+
 	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 
@@ -83,6 +85,7 @@
 	callers  *listen.Server
 	backend  *listen.Server
 	active   atomic.Int64
+	goodput  meter.Goodput
 }
 
 // New returns an entry that still has to be started.
@@ -92,6 +95,11 @@
 	return &Entry{options: options, client: client, needs: newNeeds(), targets: newIdentities(), close: closeClient}
 }
 
+// Goodput returns the counts of important requests, by which trials of settings are judged.
+func (e *Entry) Goodput() trial.Count {
+	return e.goodput.Count()
+}
+
 // String returns the name of the service.
 func (e *Entry) String() string {
 	return Name
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -96,9 +96,11 @@
 	if policy.Once {
 		run = r.runOnce
 	}
-	if refusal := run(c); refusal != nil {
+	refusal := run(c)
+	if refusal != nil {
 		r.refuse(refusal)
 	}
+	e.goodput.Note(policy.Priority, ctx.Response.StatusCode(), refusal)
 }
 
 // deadline returns the earlier of the inherited deadline and the one that the caller states.
--- a/internal/exec/exec.go
+++ b/internal/exec/exec.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pistachiotack/pistachiotack/pkg/trial"
+
 	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 
@@ -79,6 +81,7 @@
 	running map[call.ID]*scope.Scope
 	book    *book
 	records Recorder
+	goodput meter.Goodput
 }
 
 // New returns an executing node that still has to be started.
@@ -90,6 +93,11 @@
 	return e
 }
 
+// Goodput returns the counts of important requests, by which trials of settings are judged.
+func (e *Exec) Goodput() trial.Count {
+	return e.goodput.Count()
+}
+
 // String returns the name of the service.
 func (e *Exec) String() string {
 	return Name
--- a/internal/exec/handle.go
+++ b/internal/exec/handle.go
@@ -62,9 +62,11 @@
 	}
 	c, cancel := x.lifetime(c)
 	defer cancel()
-	if refusal := x.guarded(c, cancel); refusal != nil {
+	refusal := x.guarded(c, cancel)
+	if refusal != nil {
 		x.refuse(refusal)
 	}
+	e.goodput.Note(x.policy.Priority, ctx.Response.StatusCode(), refusal)
 }
 
 // run takes the call through admission to the backend server.
--- a/internal/holder/current.go
+++ b/internal/holder/current.go
@@ -40,9 +40,9 @@
 	until    time.Time
 }
 
-// NewCurrent holds no tree, at revision zero.
-func NewCurrent() Current {
-	return Current{accepted: tree.Empty()}
+// NewCurrent holds the tree that serves until a revision is accepted.
+func NewCurrent(initial *tree.Snapshot) Current {
+	return Current{accepted: initial}
 }
 
 // Record returns the accepted revision.
--- a/internal/holder/edit.go
+++ b/internal/holder/edit.go
@@ -104,7 +104,7 @@
 	case revision == current.Record().Revision:
 		return current.accepted.Tree(), nil
 	case revision == 0:
-		return tree.Empty().Tree(), nil
+		return h.options.Initial.Tree(), nil
 	case h.book == nil:
 		return nil, errors.Wrapf(ErrUnknownRevision, "no table to read revision %d from", revision)
 	}
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -40,6 +40,8 @@
 	Put(ctx context.Context, key string, value []byte, etag string) (string, error)
 	Insert(ctx context.Context, key string, value []byte) (string, error)
 	List(ctx context.Context, prefix, after string) ([]store.Row, error)
+	// Configured reports whether there is a table at all.
+	Configured() bool
 }
 
 // Control calls the holders of other nodes.
@@ -73,7 +75,9 @@
 	Exchange time.Duration
 	// Lease is how long a proposal acts on a node without word from its coordinator.
 	Lease time.Duration
-	Log   *slog.Logger
+	// Initial serves until a revision is accepted, nil for the defaults.
+	Initial *tree.Snapshot
+	Log     *slog.Logger
 }
 
 func (o Options) withDefaults() Options {
@@ -86,6 +90,9 @@
 	if o.Lease <= 0 {
 		o.Lease = defaultLease
 	}
+	if o.Initial == nil {
+		o.Initial = tree.Empty()
+	}
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
@@ -123,9 +130,10 @@
 
 // New returns a holder without a tree, at revision zero.
 func New(options Options) *Holder {
+	options = options.withDefaults()
 	h := &Holder{
-		options:   options.withDefaults(),
-		current:   NewCurrent(),
+		options:   options,
+		current:   NewCurrent(options.Initial),
 		proposing: make(chan struct{}, 1),
 		spread:    make(chan struct{}, 1),
 		done:      make(chan error, 1),
@@ -168,7 +176,7 @@
 	if h.fleet, err = kernel.Find[Fleet](k, "gossip"); err != nil {
 		return err
 	}
-	if table, err := kernel.Find[Table](k, store.Name); err == nil {
+	if table, err := kernel.Find[Table](k, store.Name); err == nil && table.Configured() {
 		h.book = &book{table: table}
 	}
 	if tracer, err := kernel.Find[Tracer](k, trace.Name); err == nil {
--- a/internal/node/fixed.go
+++ b/internal/node/fixed.go
@@ -6,7 +6,6 @@
 
 	"github.com/pistachiotack/pistachiotack/internal/kernel"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
-	"github.com/pistachiotack/pistachiotack/pkg/tree"
 )
 
 // fixedMembers is a fleet that is named beforehand.
@@ -38,6 +37,15 @@
 	return (*f.byService.Load())[service]
 }
 
+func (f *fixedMembers) All() []member.Entry {
+	var all []member.Entry
+	for _, entries := range *f.byService.Load() {
+		all = append(all, entries...)
+	}
+
+	return all
+}
+
 func (f *fixedMembers) set(entries []member.Entry) {
 	byService := map[string][]member.Entry{}
 	for _, entry := range entries {
@@ -45,27 +53,3 @@
 	}
 	f.byService.Store(&byService)
 }
-
-// fixedSettings serves one snapshot.
-type fixedSettings struct {
-	snapshot *tree.Snapshot
-	done     chan error
-}
-
-func newFixedSettings(snapshot *tree.Snapshot) *fixedSettings {
-	return &fixedSettings{snapshot: snapshot, done: make(chan error, 1)}
-}
-
-func (f *fixedSettings) String() string { return "holder" }
-
-func (f *fixedSettings) Start(_ context.Context, _ *kernel.Kernel) (<-chan error, error) {
-	return f.done, nil
-}
-
-func (f *fixedSettings) Stop(_ context.Context) error {
-	f.done <- nil
-
-	return nil
-}
-
-func (f *fixedSettings) Snapshot() *tree.Snapshot { return f.snapshot }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 	"github.com/pistachiotack/pistachiotack/internal/claim"
 	"github.com/pistachiotack/pistachiotack/internal/entry"
 	"github.com/pistachiotack/pistachiotack/internal/exec"
+	"github.com/pistachiotack/pistachiotack/internal/holder"
 	"github.com/pistachiotack/pistachiotack/internal/kernel"
 	"github.com/pistachiotack/pistachiotack/internal/meter"
 	"github.com/pistachiotack/pistachiotack/internal/peers"
@@ -35,6 +36,7 @@
 	control     *peers.Service
 	store       *store.Store
 	members     *fixedMembers
+	holder      *holder.Holder
 	snapshot    *tree.Snapshot
 	started     *kernel.Started
 }
@@ -144,16 +146,17 @@
 		Chooser:     chooser,
 		Retrier:     retrier,
 	})
-	n.admin = admin.New(s.Listen.Operators)
+	n.holder = holder.New(holder.Options{Node: s.Name, Poll: s.Fleet.Poll.Std(), Initial: n.snapshot, Log: n.log})
+	n.admin = admin.New(s.Listen.Operators, holder.Name)
 
 	return []kernel.Service{
 		decisions,
 		meter.New(map[string]string{"node": s.Name, "data_centre": s.DataCentre, "target_service": s.Service}),
-		newFixedSettings(n.snapshot),
 		n.store,
 		claim.NewRecorder(s.Name, n.incarnation),
 		n.control,
 		n.members,
+		n.holder,
 		n.exec,
 		n.entry,
 		n.admin,
