Prove the call path over HTTP, and resume archives with their credits

Cause: an archive cut in the middle was not resumed: the execution kept all its credits until its stream ended, so a cut lost them and the next attempt had none (seen in the decision log: attempt 3 noCredits). A second Stop of a node blocked.

--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -10,7 +10,6 @@
 	"syscall"
 
 	"github.com/alecthomas/kong"
-	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cockroachdb/errors"
 
 	"github.com/pistachiotack/pistachiotack/pkg/config"
@@ -49,7 +48,6 @@
 
 // Main runs the command line and returns the exit code.
 func Main(args []string, examples fs.FS) int {
-	hlog.SetLevel(hlog.LevelFatal)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 
--- a/internal/cmds/node.go
+++ b/internal/cmds/node.go
@@ -1,7 +1,6 @@
 package cmds
 
 import (
-	"context"
 	"io"
 	"log/slog"
 	"os"
@@ -39,7 +38,7 @@
 	}
 	err = started.Wait(env.Context)
 
-	return errors.CombineErrors(err, started.Stop(context.WithoutCancel(env.Context)))
+	return errors.CombineErrors(err, started.Stop())
 }
 
 // loadTree reads the tree that serves until a revision is accepted.
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -10,7 +10,9 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/pistachiotack/pistachiotack/internal/mesh"
 	"github.com/pistachiotack/pistachiotack/internal/wire"
+	"github.com/pistachiotack/pistachiotack/pkg/tree"
 )
 
 // Options choose what the demo runs.
@@ -24,24 +26,16 @@
 
 // Run starts the example, makes a call of each kind and prints what became of it.
 func Run(ctx context.Context, out io.Writer, examples fs.FS, options Options) error {
-	settings, err := loadTree(examples, options.Example)
-	if err != nil {
-		return err
-	}
-	services, err := shapes(options.Example)
-	if err != nil {
-		return err
-	}
-	mesh, stop, err := newMesh(ctx, settings, services, settings.Places(), options.Seed)
+	fleet, services, stop, err := start(ctx, examples, options)
 	if err != nil {
 		return err
 	}
 	defer stop()
-	fmt.Fprintf(out, "%s: %d nodes, each beside its backend server\n", options.Example, len(mesh.nodes))
-	for i, service := range services {
-		for _, route := range service.routes {
-			entryNode := mesh.nodes[i%len(mesh.nodes)]
-			if err := tryCall(ctx, out, entryNode.Addresses().Callers, service.name, route.Method, route.Prefix); err != nil {
+	fmt.Fprintf(out, "%s: %d nodes, each beside its backend server\n", options.Example, len(fleet.Targets))
+	for _, service := range services {
+		address := fleet.Targets[0].Node.Addresses().Callers
+		for i, route := range service.Routes {
+			if err := tryCall(ctx, out, address, service.Name, route.Method, service.Paths[i]); err != nil {
 				return err
 			}
 		}
@@ -49,12 +43,35 @@
 	if !options.Serve {
 		return nil
 	}
-	printCalls(out, mesh, services)
+	printCalls(out, fleet, services)
 	<-ctx.Done()
 
 	return nil
 }
 
+func start(ctx context.Context, examples fs.FS, options Options) (*mesh.Mesh, []mesh.Service, func(), error) {
+	text, err := fs.ReadFile(examples, "examples/"+options.Example+"/tree.toml")
+	if err != nil {
+		return nil, nil, nil, errors.Wrap(err, "read example")
+	}
+	settings, err := tree.Parse(string(text))
+	if err != nil {
+		return nil, nil, nil, errors.Wrap(err, "parse example")
+	}
+	services, err := mesh.Example(options.Example)
+	if err != nil {
+		return nil, nil, nil, err
+	}
+	fleet, stop, err := mesh.New(ctx, mesh.Options{
+		Services: services,
+		Places:   settings.Places(),
+		Snapshot: tree.NewSnapshot(1, settings),
+		Seed:     options.Seed,
+	})
+
+	return fleet, services, stop, err
+}
+
 func tryCall(ctx context.Context, out io.Writer, address, service, method, path string) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
@@ -79,11 +96,12 @@
 	return nil
 }
 
-func printCalls(out io.Writer, m *mesh, services []serviceShape) {
+func printCalls(out io.Writer, fleet *mesh.Mesh, services []mesh.Service) {
 	fmt.Fprintln(out, "\ntry:")
-	for i, service := range services {
-		address := m.nodes[i%len(m.nodes)].Addresses()
-		fmt.Fprintf(out, "  curl -i -H '%s: %s' http://%s%s\n", wire.HeaderService, service.name, address.Callers, service.routes[0].Prefix)
+	addresses := fleet.Targets[0].Node.Addresses()
+	for _, service := range services {
+		fmt.Fprintf(out, "  curl -i -X %s -H '%s: %s' http://%s%s\n",
+			service.Routes[0].Method, wire.HeaderService, service.Name, addresses.Callers, service.Paths[0])
 	}
-	fmt.Fprintf(out, "operators' pages of one node: http://%s/metrics\nstop with Ctrl-C\n", m.nodes[0].Addresses().Operators)
+	fmt.Fprintf(out, "operators' pages of that node: http://%s/metrics\nstop with Ctrl-C\n", addresses.Operators)
 }
--- a/internal/entry/retry.go
+++ b/internal/entry/retry.go
@@ -54,7 +54,7 @@
 // Decide allows a retry where running twice does no harm.
 func (FixedRetrier) Decide(_ time.Time, failure Failure) Verdict {
 	safe := failure.Outcome == call.OutcomeNotRun || (failure.Policy.Idempotent && !failure.Policy.Once)
-	if !safe || failure.Attempt > baselineRetries {
+	if !safe || failure.Final || failure.Attempt > baselineRetries {
 		return Verdict{Reason: failure.Reason}
 	}
 
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -27,12 +27,15 @@
 		return refusal
 	}
 	r.entry.options.Retrier.First(r.started, r.policy.Service, r.policy.RetryRatio)
+	var before *call.Refusal
 	for {
 		r.attempt++
 		failure := r.try(c)
 		if failure == nil {
 			return nil
 		}
+		failure = moreTelling(before, failure)
+		before = failure
 		r.mayHaveRun = r.mayHaveRun || failure.Outcome != call.OutcomeNotRun
 		if refusal := r.pause(c, failure); refusal != nil {
 			return r.honest(refusal)
@@ -40,6 +43,15 @@
 	}
 }
 
+// moreTelling keeps what an attempt met when the next one found no target left.
+func moreTelling(before, failure *call.Refusal) *call.Refusal {
+	if before != nil && failure.Reason == call.ReasonNoTarget {
+		return before.WithFinal()
+	}
+
+	return failure
+}
+
 // honest keeps a refusal from saying notRun when an earlier attempt, or an earlier request with the ticket, may have been run.
 func (r *request) honest(refusal *call.Refusal) *call.Refusal {
 	sent := r.mayHaveRun || (r.home != nil && !r.home.fresh && !r.home.said)
@@ -318,6 +330,8 @@
 		Others:     len(r.entry.members.Members(r.policy.Service)) - len(r.tried),
 	})
 	if !verdict.Retry {
+		r.decide(trace.Decision{Step: trace.StepRetry, Outcome: failure.Outcome, Reason: verdict.Reason, Detail: "gives up: " + string(failure.Reason)})
+
 		return failure
 	}
 	r.decide(trace.Decision{Step: trace.StepRetry, Outcome: failure.Outcome, Reason: verdict.Reason})
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -35,6 +35,8 @@
 	first int64
 	total int64
 	sent  int64
+	// resumed is how many bytes were sent when the last attempt for the rest began.
+	resumed int64
 	// length is how many bytes the caller expects, -1 if unknown.
 	length int64
 }
@@ -112,7 +114,7 @@
 	}
 	failure := call.NewRefusal(call.OutcomeUnknown, call.ReasonTorn).WithDetail("%v", cause)
 	for c.Err() == nil {
-		if a.request.pause(c, failure) != nil {
+		if !a.progressed() && a.request.pause(c, failure) != nil {
 			return false
 		}
 		a.request.attempt++
@@ -124,6 +126,14 @@
 	return false
 }
 
+// progressed reports whether bytes came since the last attempt; going on after some is no retry, but costs credits.
+func (a *archive) progressed() bool {
+	before := a.resumed
+	a.resumed = a.sent
+
+	return a.sent > before
+}
+
 // again makes one attempt for the rest.
 func (a *archive) again(c context.Context) *call.Refusal {
 	header := &a.request.http.Request.Header
--- a/internal/exec/answer.go
+++ b/internal/exec/answer.go
@@ -12,7 +12,6 @@
 	"github.com/pistachiotack/pistachiotack/internal/trace"
 	"github.com/pistachiotack/pistachiotack/internal/wire"
 	"github.com/pistachiotack/pistachiotack/pkg/call"
-	"github.com/pistachiotack/pistachiotack/pkg/credit"
 )
 
 // noLoad stands for a backend server that made no report.
@@ -79,15 +78,13 @@
 }
 
 // passStream sends an archive back in windows; if it breaks, the connection is cut.
-func (x *execution) passStream(answer *relay.Answer, running *scope.Scope) (Finished, *call.Refusal) {
+func (x *execution) passStream(answer *relay.Answer) (Finished, *call.Refusal) {
 	out := &x.http.Response
 	out.SetStatusCode(answer.Response.StatusCode())
 	wire.CopyResponseHeaders(&out.Header, &answer.Response.Header)
-	x.unspent = credit.Grant{}
 	x.feedback(call.Feedback{Outcome: call.OutcomeRan, Reason: call.ReasonOK})
 	writer := relay.NewBodyWriter(x.http, answer.Stream.Length)
 	_, err := io.CopyBuffer(onlyWriter{writer}, onlyReader{answer.Stream}, make([]byte, streamWindow))
-	x.exec.leave(x.envelope.Op, running)
 	if err != nil {
 		writer.Cut()
 		x.decide(trace.StepAttempt, call.OutcomeUnknown, call.ReasonTorn, errors.Wrap(err, "pass stream on").Error())
--- a/internal/exec/handle.go
+++ b/internal/exec/handle.go
@@ -125,10 +125,10 @@
 		Body:   int(x.policy.BufferAnswer),
 		Stream: x.policy.Stream,
 	})
+	x.unspent = x.exec.leave(x.envelope.Op, running)
 	if err == nil && answer.Stream != nil {
-		return x.passStream(answer, running)
+		return x.passStream(answer)
 	}
-	x.unspent = x.exec.leave(x.envelope.Op, running)
 	if err != nil {
 		refusal := refusalOf(err)
 
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -7,6 +7,7 @@
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
+	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cockroachdb/errors"
 )
@@ -19,6 +20,11 @@
 	anyPath      = "/*path"
 )
 
+// The library reports each start and stop on its own logger, which the product's log replaces.
+func init() {
+	hlog.SetLevel(hlog.LevelFatal)
+}
+
 // Server is one listener with one handler for all methods and paths.
 type Server struct {
 	hertz    *server.Hertz
--- a/internal/demo/shape.go
+++ b/internal/mesh/shape.go
@@ -1,16 +1,14 @@
-package demo
+package mesh
 
 import (
-	"io/fs"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/pistachiotack/pistachiotack/internal/fake"
-	"github.com/pistachiotack/pistachiotack/pkg/tree"
 )
 
-// Names of the examples.
+// Names of the shipped examples.
 const (
 	Rijksbureau = "rijksbureau"
 	Vysocina    = "vysocina"
@@ -19,12 +17,14 @@
 // ErrUnknownExample is returned for a name that is not shipped.
 var ErrUnknownExample = errors.New("unknown example")
 
-// serviceShape is one service of an example, scaled down to one process.
-type serviceShape struct {
-	name    string
-	targets int
-	slots   int
-	routes  []fake.Route
+// Service is one service of a fleet, with the stand-ins for its backend servers.
+type Service struct {
+	Name    string
+	Targets int
+	Slots   int
+	Routes  []fake.Route
+	// Paths are the paths to call for each route, in the same order.
+	Paths []string
 }
 
 // Sizes of answers in bytes.
@@ -45,65 +45,54 @@
 	post = "POST"
 )
 
-func shapes(example string) ([]serviceShape, error) {
-	switch example {
+// Example returns the services of a shipped example, each target scaled down tenfold in slots.
+func Example(name string) ([]Service, error) {
+	switch name {
 	case Rijksbureau:
 		return rijksbureau(), nil
 	case Vysocina:
 		return vysocina(), nil
 	default:
-		return nil, errors.Wrapf(ErrUnknownExample, "%q", example)
+		return nil, errors.Wrapf(ErrUnknownExample, "%q", name)
 	}
 }
 
-func rijksbureau() []serviceShape {
-	return []serviceShape{
-		{name: "logboek", targets: 5, slots: 13, routes: []fake.Route{
+func rijksbureau() []Service {
+	return []Service{
+		{Name: "logboek", Targets: 5, Slots: 13, Routes: []fake.Route{
 			{Method: post, Prefix: "/cells/", Work: shortWork, Bytes: smallAnswer},
 			{Method: get, Prefix: "/cells/", Work: longWork, Bytes: listAnswer},
 			{Method: get, Prefix: "/export/", Work: longWork, Bytes: listAnswer},
-		}},
-		{name: "keuring", targets: 5, slots: 13, routes: []fake.Route{
+		}, Paths: []string{"/cells/7/readings", "/cells/7/readings/today", "/export/2026"}},
+		{Name: "keuring", Targets: 5, Slots: 13, Routes: []fake.Route{
 			{Method: post, Prefix: "/signoffs", Work: longWork, Bytes: smallAnswer},
 			{Method: get, Prefix: "/inspections/", Work: longWork, Bytes: listAnswer},
 			{Method: get, Prefix: "/register/", Work: longWork, Bytes: listAnswer},
-		}},
-		{name: "certificaat", targets: 4, slots: 16, routes: []fake.Route{
+		}, Paths: []string{"/signoffs", "/inspections/12", "/register/2026"}},
+		{Name: "certificaat", Targets: 4, Slots: 16, Routes: []fake.Route{
 			{Method: get, Prefix: "/certificates/", Work: shortWork, Bytes: archiveAnswer, Archive: true},
 			{Method: post, Prefix: "/certificates", Work: longWork, Bytes: smallAnswer},
-		}},
-		{name: "alarm", targets: 4, slots: 2, routes: []fake.Route{
+		}, Paths: []string{"/certificates/3/archive", "/certificates"}},
+		{Name: "alarm", Targets: 4, Slots: 2, Routes: []fake.Route{
 			{Method: post, Prefix: "/alarms", Work: shortWork, Bytes: smallAnswer},
 			{Method: get, Prefix: "/alarms", Work: shortWork, Bytes: smallAnswer},
-		}},
+		}, Paths: []string{"/alarms", "/alarms"}},
 	}
 }
 
-func vysocina() []serviceShape {
-	return []serviceShape{
-		{name: "vitrina", targets: 5, slots: 5, routes: []fake.Route{
+func vysocina() []Service {
+	return []Service{
+		{Name: "vitrina", Targets: 5, Slots: 5, Routes: []fake.Route{
 			{Method: get, Prefix: "/", Work: longWork, Bytes: listAnswer},
+		}, Paths: []string{"/stock/marquees"}},
+		{Name: "pokladna", Targets: 4, Slots: 5, Routes: []fake.Route{
 			{Method: post, Prefix: "/", Work: longWork, Bytes: smallAnswer},
-		}},
-		{name: "pokladna", targets: 4, slots: 5, routes: []fake.Route{
-			{Method: post, Prefix: "/", Work: longWork, Bytes: smallAnswer},
-			{Method: get, Prefix: "/", Work: shortWork, Bytes: smallAnswer},
-		}},
-		{name: "archiv", targets: 4, slots: 5, routes: []fake.Route{
+		}, Paths: []string{"/deposits"}},
+		{Name: "archiv", Targets: 4, Slots: 5, Routes: []fake.Route{
 			{Method: get, Prefix: "/", Work: shortWork, Bytes: archiveAnswer, Archive: true},
-		}},
-		{name: "kalendar", targets: 4, slots: 2, routes: []fake.Route{
+		}, Paths: []string{"/drawings/marquee-12"}},
+		{Name: "kalendar", Targets: 4, Slots: 2, Routes: []fake.Route{
 			{Method: get, Prefix: "/", Work: shortWork, Bytes: smallAnswer},
-			{Method: post, Prefix: "/", Work: shortWork, Bytes: smallAnswer},
-		}},
-	}
-}
-
-func loadTree(examples fs.FS, example string) (*tree.Tree, error) {
-	text, err := fs.ReadFile(examples, "examples/"+example+"/tree.toml")
-	if err != nil {
-		return nil, errors.Wrap(err, "read example")
+		}, Paths: []string{"/dates/2026-06"}},
 	}
-
-	return tree.Parse(string(text))
 }
--- /dev/null
+++ b/internal/node/calls_test.go
@@ -0,0 +1,213 @@
+package node_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiotack/pistachiotack/internal/wire"
+	"github.com/pistachiotack/pistachiotack/pkg/call"
+)
+
+func TestHeadersFromCallersAreStripped(t *testing.T) {
+	var seen atomic.Pointer[http.Header]
+	nodes := startFleet(t, testTree, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		header := r.Header.Clone()
+		seen.Store(&header)
+		_, _ = io.WriteString(w, "done")
+	}))
+	request := newCall(t, nodes[0], http.MethodPost, "/signoffs", "cell 7")
+	for _, forged := range []string{wire.HeaderEnvelope, wire.HeaderParent, wire.HeaderOperation, wire.HeaderFeedback, wire.Prefix + "Rank"} {
+		request.Header.Set(forged, "forged")
+	}
+	request.Header.Set("Accept-Language", "nl")
+	answer := do(t, request)
+
+	require.Equal(t, http.StatusOK, answer.status)
+	for name, values := range *seen.Load() {
+		require.NotContains(t, values, "forged", name)
+	}
+	require.Equal(t, "nl", seen.Load().Get("Accept-Language"))
+	require.Equal(t, answer.header.Get(wire.HeaderOperation), seen.Load().Get(wire.HeaderOperation))
+	require.Empty(t, answer.header.Get(wire.HeaderFeedback))
+	require.Empty(t, answer.header.Get(wire.HeaderEnvelope))
+}
+
+func TestRefusals(t *testing.T) {
+	nodes := startFleet(t, testTree+"deadline = \"5s\"\n", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.URL.Path {
+		case "/shed":
+			w.Header().Set(wire.HeaderOutcome, string(call.OutcomeNotRun))
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case "/cut":
+			panic(http.ErrAbortHandler)
+		case "/slow":
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+		case "/endless":
+			w.Header().Set("Transfer-Encoding", "identity")
+			_, _ = io.WriteString(w, "no length")
+			w.(http.Flusher).Flush()
+		case "/missing":
+			w.WriteHeader(http.StatusNotFound)
+		}
+	}))
+	tests := map[string]struct {
+		path    string
+		service string
+		timeout string
+		status  int
+		outcome call.Outcome
+		reason  call.Reason
+	}{
+		"backend server sheds":        {path: "/shed", status: 503, outcome: call.OutcomeNotRun, reason: call.ReasonBackendShed},
+		"backend server cuts":         {path: "/cut", status: 502, outcome: call.OutcomeUnknown, reason: call.ReasonBroken},
+		"deadline while running":      {path: "/slow", timeout: "200ms", status: 504, outcome: call.OutcomeUnknown, reason: call.ReasonDeadline},
+		"answer without length":       {path: "/endless", status: 502, outcome: call.OutcomeUnknown, reason: call.ReasonTorn},
+		"service without targets":     {path: "/", service: "nowhere", status: 503, outcome: call.OutcomeNotRun, reason: call.ReasonNoTarget},
+		"backend server's own status": {path: "/missing", status: 404, outcome: call.OutcomeRan},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			request := newCall(t, nodes[0], http.MethodPost, test.path, "x")
+			if test.service != "" {
+				request.Header.Set(wire.HeaderService, test.service)
+			}
+			if test.timeout != "" {
+				request.Header.Set(wire.HeaderTimeout, test.timeout)
+			}
+			answer := do(t, request)
+			require.Equal(t, test.status, answer.status)
+			require.Equal(t, string(test.outcome), answer.header.Get(wire.HeaderOutcome))
+			if test.reason == "" {
+				return
+			}
+			require.Equal(t, "application/problem+json", answer.header.Get("Content-Type"))
+			var problem struct {
+				Status  int          `json:"status"`
+				Outcome call.Outcome `json:"outcome"`
+				Reason  call.Reason  `json:"reason"`
+			}
+			require.NoError(t, json.Unmarshal(answer.body, &problem))
+			require.Equal(t, test.status, problem.Status)
+			require.Equal(t, test.outcome, problem.Outcome)
+			require.Equal(t, test.reason, problem.Reason)
+		})
+	}
+}
+
+func TestCallerThatHangsUpCancelsTheWork(t *testing.T) {
+	arrived := make(chan struct{})
+	cancelled := make(chan struct{})
+	nodes := startFleet(t, testTree, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		close(arrived)
+		<-r.Context().Done()
+		close(cancelled)
+	}))
+	ctx, hangUp := context.WithCancel(t.Context())
+	request := newCall(t, nodes[0], http.MethodGet, "/inspections/1", "").WithContext(ctx)
+	request.Header.Set(wire.HeaderTimeout, "60s")
+	ended := make(chan error, 1)
+	go func() {
+		_, err := http.DefaultClient.Do(request) //nolint:bodyclose // there is no answer
+		ended <- err
+	}()
+	<-arrived
+	hangUp()
+	require.ErrorIs(t, <-ended, context.Canceled)
+	<-cancelled
+}
+
+// TestLateAnswersGoToNobody lets every other answer come after its deadline, out of order.
+func TestLateAnswersGoToNobody(t *testing.T) {
+	release := make(chan struct{})
+	var once sync.Once
+	nodes := startFleet(t, testTree, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-Late") != "" {
+			<-release
+		}
+		_, _ = fmt.Fprintf(w, "answer to %s", r.URL.Path)
+	}))
+	t.Cleanup(func() { once.Do(func() { close(release) }) })
+	const released = 19
+	for i := range 2 * released {
+		path := fmt.Sprintf("/inspections/%d", i)
+		request := newCall(t, nodes[0], http.MethodGet, path, "")
+		late := i%2 == 0
+		if late {
+			request.Header.Set("X-Late", "yes")
+			request.Header.Set(wire.HeaderTimeout, "50ms")
+		}
+		answer := do(t, request)
+		require.NoError(t, answer.cut)
+		if late && i < released {
+			require.Equal(t, http.StatusGatewayTimeout, answer.status)
+
+			continue
+		}
+		require.Equal(t, "answer to "+path, string(answer.body))
+		if i == released {
+			once.Do(func() { close(release) })
+		}
+	}
+}
+
+func TestPlannedStopCutsNothing(t *testing.T) {
+	release := make(chan struct{})
+	var running atomic.Int64
+	nodes := startFleet(t, testTree+"deadline = \"60s\"\n", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		running.Add(1)
+		<-release
+		_, _ = io.WriteString(w, "whole")
+	}), http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "other")
+	}))
+	leaver, other := nodes[0], nodes[1]
+	other.SetMembers(nil)
+	leaver.SetMembers([]memberEntry{leaver.Entry()})
+	other.SetMembers([]memberEntry{leaver.Entry()})
+	const inFlight = 8
+	bodies := make(chan string, inFlight)
+	for range inFlight {
+		request := newCall(t, other, http.MethodGet, "/inspections/1", "")
+		go func() {
+			answer, err := http.DefaultClient.Do(request)
+			if err != nil {
+				bodies <- err.Error()
+
+				return
+			}
+			body, _ := io.ReadAll(answer.Body)
+			_ = answer.Body.Close()
+			bodies <- string(body)
+		}()
+	}
+	require.Eventually(t, func() bool { return running.Load() == inFlight }, waitLimit, waitTick)
+	stopped := make(chan error, 1)
+	go func() { stopped <- leaver.Stop() }()
+	require.Eventually(t, func() bool {
+		answer := do(t, newCall(t, other, http.MethodPost, "/signoffs", "new work"))
+
+		return strings.Contains(string(answer.body), string(call.ReasonDraining))
+	}, waitLimit, waitTick)
+	require.EqualValues(t, inFlight, running.Load(), "a leaving node takes no new work")
+	close(release)
+	for range inFlight {
+		require.Equal(t, "whole", <-bodies)
+	}
+	select {
+	case err := <-stopped:
+		require.NoError(t, err)
+	case <-time.After(waitLimit):
+		require.Fail(t, "the leaver never stopped")
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -39,6 +40,7 @@
 	holder      *holder.Holder
 	snapshot    *tree.Snapshot
 	started     *kernel.Started
+	stop        func() error
 }
 
 // Start builds and starts a node; it runs until Stop.
@@ -65,6 +67,7 @@
 	if err = n.announce(); err != nil {
 		return nil, errors.CombineErrors(err, n.started.Stop(ctx))
 	}
+	n.stop = sync.OnceValue(func() error { return n.drainAndStop(ctx) })
 	n.log.LogAttrs(ctx, slog.LevelInfo, "node started",
 		slog.String("node", settings.Name),
 		slog.String("callers", n.entry.CallersAddress()),
@@ -81,12 +84,16 @@
 	return n.started.Wait(ctx)
 }
 
-// Stop refuses new calls, waits for those in flight and then ends the services.
-func (n *Node) Stop(ctx context.Context) error {
+// Stop refuses new calls, waits for those in flight and then ends the services; further calls return the same.
+func (n *Node) Stop() error {
+	return n.stop()
+}
+
+func (n *Node) drainAndStop(ctx context.Context) error {
 	drain, cancel := context.WithTimeout(ctx, tree.Default().DrainDeadline)
 	defer cancel()
 	err := errors.CombineErrors(n.exec.Drain(drain), n.entry.Drain(drain))
-	stop, cancelStop := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+	stop, cancelStop := context.WithTimeout(ctx, stopTimeout)
 	defer cancelStop()
 
 	return errors.CombineErrors(err, n.started.Stop(stop))
