Retry a lost connection on the same target, and let only the hop next to a fault retry

Cause: an attempt that never arrived could not go to the same target again, a target whose incarnation was not known yet ended long work at the first silence, a once call asked a dead home until its deadline, and a 5xx that one hop had given up on was retried by each hop above.

Change: a target that says the attempt is unseen is forgiven; no verdict ends an attempt before the incarnation is known; an unreachable home ends the questions, so that recorded answers are recalled in time; a fault passed on is noted as the hop's decision.

--- a/internal/entry/probe.go
+++ b/internal/entry/probe.go
@@ -4,7 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/pistachiotack/pistachiotack/internal/exec"
+	"github.com/pistachiotack/pistachiotack/internal/peers"
 	"github.com/pistachiotack/pistachiotack/internal/relay"
 	"github.com/pistachiotack/pistachiotack/internal/trace"
 	"github.com/pistachiotack/pistachiotack/pkg/call"
@@ -41,6 +44,9 @@
 		return call.NewRefusal(call.OutcomeUnknown, call.ReasonBroken).WithDetail("%v", err)
 	case err != nil, verdict.Waits():
 		return nil
+	case p.attempt.Incarnation == 0 && verdict.Reason == call.ReasonWrongIncarnation:
+		// nothing is known of the target yet
+		return nil
 	case verdict.State == fence.StateDone && !p.finished:
 		// the answer may be on its way
 		p.finished = true
@@ -75,7 +81,10 @@
 		result.Outcome = call.OutcomeRan
 		result.Status = p.verdict.Answer.Status
 	case p.verdict.Outcome == call.OutcomeNotRun:
+		// the node answers and has not seen the attempt, so the connection is at fault
 		result.Outcome = call.OutcomeNotRun
+		result.Reason = call.ReasonSilent
+		p.request.forgive()
 	}
 
 	return result
@@ -86,7 +95,7 @@
 	for p.verdict == nil && c.Err() == nil {
 		verdict, err := p.resolve(c, p.request.policy.Progress)
 		switch {
-		case err != nil && !p.attempt.Once:
+		case err != nil && (!p.attempt.Once || errors.Is(err, peers.ErrUnreachable)):
 			return
 		case err != nil:
 			sleep(c, p.request.policy.Progress)
@@ -112,6 +121,13 @@
 	return verdict, err
 }
 
+// forgive lets the latest target be chosen again.
+func (r *request) forgive() {
+	if last := len(r.tried) - 1; last >= 0 {
+		r.tried = r.tried[:last]
+	}
+}
+
 // repeatable reports whether running the call twice does no harm.
 func (r *request) repeatable() bool {
 	return r.policy.Idempotent && !r.policy.Once
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -104,6 +104,9 @@
 	failure := call.NewRefusal(call.OutcomeRan, call.ReasonBackendFault)
 	failure.Final = feedback.Final
 	if r.pause(c, failure) != nil {
+		// this hop has decided, so the hops above must not try again
+		r.scope.NoteRefusal(failure)
+
 		return false
 	}
 	r.mayHaveRun = true
