Show a surge and what became of it in the demo

Cause: the demo made one call of each kind and told nothing of overload. Change: mesh runs any example of the load package with the platform stand-in; the demo drives 0.6, 3 and 0.6 times the capacity and prints the report.

--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -5,11 +5,12 @@
 	"fmt"
 	"io"
 	"io/fs"
-	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/pistachiotack/pistachiotack/internal/load"
 	"github.com/pistachiotack/pistachiotack/internal/mesh"
 	"github.com/pistachiotack/pistachiotack/internal/wire"
 	"github.com/pistachiotack/pistachiotack/pkg/tree"
@@ -22,86 +23,90 @@
 	Seed    uint64
 }
 
-const callTimeout = 10 * time.Second
+// The load of the demo, as shares of the fleet's capacity.
+const (
+	calmShare  = 0.6
+	surgeShare = 3.0
+	calmTime   = 4 * time.Second
+	surgeTime  = 5 * time.Second
+	afterTime  = 6 * time.Second
+)
 
-// Run starts the example, makes a call of each kind and prints what became of it.
+// Run starts the example, puts a surge on it and prints what became of the requests.
 func Run(ctx context.Context, out io.Writer, examples fs.FS, options Options) error {
-	fleet, services, stop, err := start(ctx, examples, options)
+	fleet, example, stop, err := start(ctx, examples, options)
 	if err != nil {
 		return err
 	}
 	defer stop()
-	fmt.Fprintf(out, "%s: %d nodes, each beside its backend server\n", options.Example, len(fleet.Targets))
-	for _, service := range services {
-		address := fleet.Targets[0].Node.Addresses().Callers
-		for i, route := range service.Routes {
-			if err := tryCall(ctx, out, address, service.Name, route.Method, service.Paths[i]); err != nil {
-				return err
-			}
-		}
+	capacity, narrowest := example.Capacity()
+	fmt.Fprintf(out, "%s: %d nodes, each beside its backend server; slots at 1/%d of full size; capacity %.0f requests/s, bound by %s\n",
+		example.Name, len(fleet.Nodes), example.Scale, capacity, narrowest)
+	fmt.Fprintf(out, "%s at %.1f, %s at %.1f, %s at %.1f times the capacity\n\n", calmTime, calmShare, surgeTime, surgeShare, afterTime, calmShare)
+	report, err := load.Run(ctx, plan(fleet, example, options.Seed, out))
+	if err != nil {
+		return errors.Wrap(err, "run the load")
 	}
-	if !options.Serve {
-		return nil
+	fmt.Fprintln(out)
+	if err = report.WriteTable(out); err != nil {
+		return errors.Wrap(err, "print the report")
+	}
+	if options.Serve {
+		printCalls(out, fleet, example)
+		<-ctx.Done()
 	}
-	printCalls(out, fleet, services)
-	<-ctx.Done()
 
 	return nil
 }
 
-func start(ctx context.Context, examples fs.FS, options Options) (*mesh.Mesh, []mesh.Service, func(), error) {
-	text, err := fs.ReadFile(examples, "examples/"+options.Example+"/tree.toml")
+func start(ctx context.Context, examples fs.FS, options Options) (*mesh.Mesh, load.Example, func(), error) {
+	example, err := load.FindExample(options.Example)
 	if err != nil {
-		return nil, nil, nil, errors.Wrap(err, "read example")
+		return nil, example, nil, err
 	}
-	settings, err := tree.Parse(string(text))
+	text, err := fs.ReadFile(examples, "examples/"+options.Example+"/tree.toml")
 	if err != nil {
-		return nil, nil, nil, errors.Wrap(err, "parse example")
+		return nil, example, nil, errors.Wrap(err, "read example")
 	}
-	services, err := mesh.Example(options.Example)
+	settings, err := tree.Parse(string(text))
 	if err != nil {
-		return nil, nil, nil, err
+		return nil, example, nil, errors.Wrap(err, "parse example")
 	}
-	fleet, stop, err := mesh.New(ctx, mesh.Options{
-		Services: services,
-		Places:   settings.Places(),
-		Snapshot: tree.NewSnapshot(1, settings),
-		Seed:     options.Seed,
-	})
+	fleet, stop, err := mesh.New(ctx, mesh.Options{Example: example, Snapshot: tree.NewSnapshot(0, settings), Seed: options.Seed})
 
-	return fleet, services, stop, err
+	return fleet, example, stop, err
 }
 
-func tryCall(ctx context.Context, out io.Writer, address, service, method, path string) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, nil)
-	if err != nil {
-		return errors.Wrap(err, "build call")
-	}
-	request.Header.Set(wire.HeaderService, service)
-	began := time.Now()
-	answer, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return errors.Wrapf(err, "call %s", service)
-	}
-	defer func() { _ = answer.Body.Close() }()
-	size, err := io.Copy(io.Discard, answer.Body)
-	if err != nil {
-		return errors.Wrapf(err, "read answer of %s", service)
-	}
-	fmt.Fprintf(out, "%-4s %-12s %-16s %d %s %d bytes %s\n",
-		method, service, path, answer.StatusCode, answer.Header.Get(wire.HeaderOutcome), size, time.Since(began).Round(time.Microsecond))
+func plan(fleet *mesh.Mesh, example load.Example, seed uint64, out io.Writer) load.Plan {
+	capacity, _ := example.Capacity()
 
-	return nil
+	return load.Plan{
+		Name:    "demo",
+		Variant: "adaptive",
+		Seed:    seed,
+		Example: example,
+		Phases: []load.Phase{
+			{Name: "before", Time: calmTime, Rate: calmShare * capacity},
+			{Name: "surge", Time: surgeTime, Rate: surgeShare * capacity},
+			{Name: "after", Time: afterTime, Rate: calmShare * capacity},
+		},
+		Manners: []load.Manner{load.MannerPatient, load.MannerPatient, load.MannerPatient},
+		Picker:  fleet.Entries(),
+		Ledger:  fleet.Ledger,
+		Prefix:  "demo",
+		Progress: func(point load.Point) {
+			fmt.Fprintf(out, "%5.1f s  offered %4d  good %4d  important %3d of %3d\n",
+				point.Seconds, point.Offered, point.Good, point.ImportantGood, point.ImportantOffered)
+		},
+	}
 }
 
-func printCalls(out io.Writer, fleet *mesh.Mesh, services []mesh.Service) {
+func printCalls(out io.Writer, fleet *mesh.Mesh, example load.Example) {
 	fmt.Fprintln(out, "\ntry:")
-	addresses := fleet.Targets[0].Node.Addresses()
-	for _, service := range services {
-		fmt.Fprintf(out, "  curl -i -X %s -H '%s: %s' http://%s%s\n",
-			service.Routes[0].Method, wire.HeaderService, service.Name, addresses.Callers, service.Paths[0])
+	addresses := fleet.Nodes[0].Addresses()
+	for _, kind := range example.Kinds {
+		path := strings.ReplaceAll(kind.Path, "%d", "7")
+		fmt.Fprintf(out, "  curl -isL -X %s -H '%s: %s' -o /dev/null -D - http://%s%s\n", kind.Method, wire.HeaderService, kind.Service, addresses.Callers, path)
 	}
-	fmt.Fprintf(out, "operators' pages of that node: http://%s/metrics\nstop with Ctrl-C\n", addresses.Operators)
+	fmt.Fprintf(out, "\n  curl -s http://%s/metrics\n  go run . explain --node %s OPERATION\n\nstop with Ctrl-C\n", addresses.Operators, addresses.Operators)
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/pistachiotack/pistachiotack/internal/fake"
+	"github.com/pistachiotack/pistachiotack/internal/load"
 	"github.com/pistachiotack/pistachiotack/internal/node"
+	"github.com/pistachiotack/pistachiotack/internal/plat"
 	"github.com/pistachiotack/pistachiotack/pkg/config"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
 	"github.com/pistachiotack/pistachiotack/pkg/tree"
@@ -16,26 +17,18 @@
 
 // Options describe a fleet.
 type Options struct {
-	Services []Service
-	Places   []string
+	Example  load.Example
 	Snapshot *tree.Snapshot
 	Seed     uint64
 	Log      *slog.Logger
-	// Tune changes the settings of each node before it starts, nil for none.
-	Tune func(config.Node) config.Node
 }
 
-// Target is one backend server with its node.
-type Target struct {
-	Node    *node.Node
-	Backend *fake.Server
-	Service string
-}
-
-// Mesh is a running fleet.
+// Mesh is a running fleet with its platform and its backend servers.
 type Mesh struct {
-	Targets []Target
-	Ledger  *fake.Ledger
+	Nodes    []*node.Node
+	Backends []*load.Backend
+	Ledger   *fake.Ledger
+	Platform *plat.Platform
 
 	options Options
 	closers []func()
@@ -47,80 +40,88 @@
 		options.Log = slog.New(slog.DiscardHandler)
 	}
 	m := &Mesh{options: options, Ledger: fake.NewLedger()}
-	for _, service := range options.Services {
-		for i := range service.Targets {
-			if err := m.add(ctx, service, i); err != nil {
-				m.stop()
+	if err := m.start(ctx); err != nil {
+		m.stop()
 
-				return nil, nil, err
-			}
-		}
+		return nil, nil, err
 	}
 	m.introduce()
 
 	return m, m.stop, nil
 }
 
-// Of returns the targets of a service.
-func (m *Mesh) Of(service string) []Target {
-	var found []Target
-	for _, target := range m.Targets {
-		if target.Service == service {
-			found = append(found, target)
-		}
+// Entries returns the callers' addresses of all nodes.
+func (m *Mesh) Entries() load.Entries {
+	var entries load.Entries
+	for _, each := range m.Nodes {
+		entries = append(entries, each.Addresses().Callers)
 	}
 
-	return found
+	return entries
 }
 
-// add starts one backend server and the node beside it.
-func (m *Mesh) add(ctx context.Context, service Service, i int) error {
-	backend, closeBackend, err := fake.New(ctx, fake.Options{
-		Service: service.Name,
-		Seed:    m.options.Seed + uint64(len(m.Targets)),
-		Routes:  service.Routes,
-		Ledger:  m.Ledger,
-	}, fake.Behaviour{Slots: service.Slots, Waiting: service.Slots})
+func (m *Mesh) start(ctx context.Context) error {
+	platform, closePlatform, err := plat.New(ctx, "127.0.0.1:0")
 	if err != nil {
-		return errors.Wrapf(err, "start backend server of %s", service.Name)
+		return errors.Wrap(err, "start platform stand-in")
 	}
-	m.closers = append(m.closers, closeBackend)
-	place := m.options.Places[i%len(m.options.Places)]
+	m.Platform = platform
+	m.closers = append(m.closers, closePlatform)
+	backends, closeBackends, err := load.StartBackends(ctx, m.options.Example, m.Ledger, m.options.Seed)
+	if err != nil {
+		return errors.Wrap(err, "start backend servers")
+	}
+	m.Backends = backends
+	m.closers = append(m.closers, closeBackends)
+	for _, backend := range backends {
+		if err := m.add(ctx, backend); err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
+
+// add starts the node beside one backend server.
+func (m *Mesh) add(ctx context.Context, backend *load.Backend) error {
+	example := m.options.Example
 	settings := config.Node{
-		Name:       fmt.Sprintf("%s-%s-%d", service.Name, place, i),
-		DataCentre: place,
-		Service:    service.Name,
-		Backend:    config.Backend{Address: backend.Address(), Slots: service.Slots},
+		Name:       backend.Name,
+		DataCentre: backend.DataCentre,
+		Service:    backend.Service.Name,
+		Backend: config.Backend{
+			Address:     backend.Server.Address(),
+			Slots:       example.Slots(backend.Service),
+			Connections: backend.Service.Connections,
+		},
+		Platform: config.Platform{Table: m.Platform.Address(), Objects: m.Platform.Address()},
 	}.WithDefaults()
-	if m.options.Tune != nil {
-		settings = m.options.Tune(settings)
-	}
 	started, err := node.Start(ctx, settings, m.options.Snapshot, m.options.Log)
 	if err != nil {
 		return errors.Wrapf(err, "start node %s", settings.Name)
 	}
-	backend.SetCaller(fake.NewGateway(started.Addresses().Backend))
-	m.Targets = append(m.Targets, Target{Node: started, Backend: backend, Service: service.Name})
+	backend.Server.SetCaller(fake.NewGateway(started.Addresses().Backend))
+	m.Nodes = append(m.Nodes, started)
 
 	return nil
 }
 
 // introduce makes all nodes known to each other.
 func (m *Mesh) introduce() {
-	entries := make([]member.Entry, 0, len(m.Targets))
-	for _, target := range m.Targets {
-		entries = append(entries, target.Node.Entry())
+	entries := make([]member.Entry, 0, len(m.Nodes))
+	for _, each := range m.Nodes {
+		entries = append(entries, each.Entry())
 	}
-	for _, target := range m.Targets {
-		target.Node.SetMembers(entries)
+	for _, each := range m.Nodes {
+		each.SetMembers(entries)
 	}
 }
 
 func (m *Mesh) stop() {
-	for _, target := range m.Targets {
-		_ = target.Node.Stop()
+	for _, each := range m.Nodes {
+		_ = each.Stop()
 	}
-	for _, closeBackend := range m.closers {
-		closeBackend()
+	for i := len(m.closers) - 1; i >= 0; i-- {
+		m.closers[i]()
 	}
 }
