Prove late copies, cancellation by message, parallel calls and once hops

Cause: these were covered by property tests or not at all; the fault proxy passed the end of a silent connection on, which a box that has lost track of it would not do.

Change: a silent link hides the end of one side from the other.

--- a/internal/fault/link.go
+++ b/internal/fault/link.go
@@ -26,7 +26,7 @@
 	return &link{proxy: p, client: client, closed: make(chan struct{})}
 }
 
-// run passes bytes until either side ends, then reports itself on ended.
+// run passes bytes until either side ends, or both of a silent link, then reports itself on ended.
 func (l *link) run(ctx context.Context, address string, ended chan<- *link) {
 	defer func() { ended <- l }()
 	defer l.close()
@@ -48,10 +48,17 @@
 	go l.pump(ctx, target, l.client, false, pumps)
 	go l.pump(ctx, l.client, target, true, pumps)
 	<-pumps
-	l.close()
+	if !l.hides() {
+		l.close()
+	}
 	<-pumps
 }
 
+// hides reports whether the end of one side is kept from the other, as by a box that has lost track of the connection.
+func (l *link) hides() bool {
+	return l.silent.Load() || l.proxy.state().Silent
+}
+
 func (l *link) attach(target net.Conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/proof/line_test.go
+++ b/internal/proof/line_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"testing"
@@ -33,6 +34,8 @@
 	name    string
 	targets int
 	routes  []fake.Route
+	// handler takes the place of the stand-in, nil for none.
+	handler http.Handler
 }
 
 // lineOptions describe a line of services, each target a real node process beside a stand-in.
@@ -123,6 +126,11 @@
 		},
 		Backend: config.Backend{Address: backend.Address(), Slots: lineSlots},
 	}
+	if service.handler != nil {
+		server := httptest.NewServer(service.handler)
+		t.Cleanup(server.Close)
+		settings.Backend.Address = server.Listener.Addr().String()
+	}
 	link, closeLink, err := fault.New(t.Context(), settings.Listen.Peers)
 	require.NoError(t, err)
 	t.Cleanup(closeLink)
--- a/internal/proof/once_test.go
+++ b/internal/proof/once_test.go
@@ -20,7 +20,7 @@
 
 const onceTree = `
 places = ["hal-a"]
-services = ["pokladna"]
+services = ["vitrina", "pokladna"]
 attempts = 20
 retries = 6
 progress = "80ms"
