--- /dev/null
+++ b/internal/trace/trace_test.go
@@ -0,0 +1,67 @@
+package trace_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiotack/pistachiotack/internal/trace"
+	"github.com/pistachiotack/pistachiotack/pkg/call"
+)
+
+// gate is a log file that takes nothing until it is opened.
+type gate struct {
+	open chan struct{}
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+func (g *gate) Write(p []byte) (int, error) {
+	<-g.open
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	return g.text.Write(p)
+}
+
+func TestDecideNeverBlocksAndCountsWhatItDrops(t *testing.T) {
+	const buffer, decisions = 8, 100
+	file := &gate{open: make(chan struct{})}
+	log := trace.New(slog.New(slog.NewJSONHandler(file, nil)), "node-a", buffer, true)
+	_, err := log.Start(t.Context(), nil)
+	require.NoError(t, err)
+	for i := range decisions {
+		log.Decide(trace.Decision{Step: trace.StepRoute, Op: call.ID(fmt.Sprint(i)), Reason: call.ReasonOK})
+	}
+	require.GreaterOrEqual(t, log.Dropped(), uint64(decisions-buffer-1))
+	close(file.open)
+	require.NoError(t, log.Stop(t.Context()))
+	lines := strings.Split(strings.TrimSpace(file.text.String()), "\n")
+	require.EqualValues(t, decisions, uint64(len(lines))+log.Dropped())
+	for _, line := range lines {
+		var decoded map[string]any
+		require.NoError(t, json.Unmarshal([]byte(line), &decoded))
+		require.Equal(t, "route", decoded["step"])
+	}
+}
+
+func TestExplainFindsByOperationAndRootOldestFirst(t *testing.T) {
+	log := trace.New(slog.New(slog.DiscardHandler), "node-a", 1, false)
+	const kept = 4096
+	for i := range kept + 10 {
+		log.Decide(trace.Decision{Step: trace.StepRoute, Op: call.ID(fmt.Sprint("op", i)), Root: "root", Attempt: i})
+	}
+	require.Empty(t, log.Explain("op3"), "the oldest are forgotten")
+	require.Len(t, log.Explain("op20"), 1)
+	all := log.Explain("root")
+	require.Len(t, all, kept)
+	for i := 1; i < len(all); i++ {
+		require.Less(t, all[i-1].Attempt, all[i].Attempt)
+	}
+}
