Match answers by attempt, and retire idle connections

Cause: an answer from a peer was taken for the request that waited on that connection, whatever operation it named; idle connections at the bottom of a pool were never closed, nor were addresses of nodes that had gone; a backend server that closes idle connections after a few seconds made the next call unknown. Change: feedback names operation and attempt and must match; pools are swept, idle connections to the backend server live 2 s; an answer too large to buffer has its own reason and is not tried again.

--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -227,7 +227,7 @@
 		Progress: r.policy.Progress,
 		Waiting:  func() error { return probe.waiting(c) },
 	})
-	result := classify(err, answer)
+	result := r.classify(err, answer)
 	r.entry.targets.learn(target, result.Feedback.Incarnation)
 
 	result = r.correct(probe.settle(c, result, answer))
@@ -290,13 +290,13 @@
 }
 
 // classify tells what is certain after an attempt.
-func classify(err error, answer *relay.Answer) Result {
+func (r *request) classify(err error, answer *relay.Answer) Result {
 	var fault *relay.Fault
 	if errors.As(err, &fault) {
 		return Result{Outcome: fault.Outcome(), Reason: fault.Reason}
 	}
 	feedback, ok := wire.Feedback(&answer.Response.Header)
-	if !ok || !feedback.Outcome.Valid() {
+	if !ok || !feedback.Outcome.Valid() || feedback.Op != r.op || feedback.Attempt != r.attempt {
 		return Result{Outcome: call.OutcomeUnknown, Reason: call.ReasonTorn}
 	}
 	result := Result{Outcome: feedback.Outcome, Reason: feedback.Reason, HasFeedback: true, Feedback: feedback}
--- a/internal/exec/answer.go
+++ b/internal/exec/answer.go
@@ -111,6 +111,8 @@
 // feedback completes and sends what the entry learns of this node.
 func (x *execution) feedback(feedback call.Feedback) {
 	pressure := x.exec.options.Admitter.Pressure(x.policy.Kind)
+	feedback.Op = x.envelope.Op
+	feedback.Attempt = x.envelope.Attempt
 	feedback.Unspent = x.unspent.Attempts
 	feedback.UnspentRetries = x.unspent.Retries
 	feedback.Threshold = pressure.Threshold
--- a/internal/exec/exec.go
+++ b/internal/exec/exec.go
@@ -86,7 +86,7 @@
 
 // New returns an executing node that still has to be started.
 func New(options Options) *Exec {
-	client, closeClient := relay.NewClient()
+	client, closeClient := relay.NewClient(relay.BackendIdle)
 	e := &Exec{options: options, client: client, close: closeClient, running: map[call.ID]*scope.Scope{}, book: newBook(options.Incarnation)}
 	e.state.Store(member.StateServing)
 
--- a/internal/exec/handle.go
+++ b/internal/exec/handle.go
@@ -145,7 +145,10 @@
 		return call.NewRefusal(call.OutcomeUnknown, call.ReasonBroken).WithDetail("%v", err)
 	}
 
-	return call.NewRefusal(fault.Outcome(), fault.Reason).WithDetail("backend server: %v", fault.Cause)
+	refusal := call.NewRefusal(fault.Outcome(), fault.Reason).WithDetail("backend server: %v", fault.Cause)
+	refusal.Final = fault.Reason == call.ReasonTooLarge
+
+	return refusal
 }
 
 func digest(body []byte) uint64 {
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -22,17 +22,31 @@
 	errLeftovers = errors.New("bytes after the end of the answer")
 )
 
+// Times after which an idle connection is not used again, each shorter than what its server waits.
+const (
+	PeerIdle    = 30 * time.Second
+	BackendIdle = 2 * time.Second
+)
+
 // Client makes attempts and keeps connections between them.
 type Client struct {
+	idle  time.Duration
 	mu    sync.RWMutex
 	pools map[string]*pool
 }
 
 // NewClient returns a client without connections, and the function that closes those it keeps.
-func NewClient() (*Client, func()) {
-	c := &Client{pools: map[string]*pool{}}
+func NewClient(idle time.Duration) (*Client, func()) {
+	c := &Client{idle: idle, pools: map[string]*pool{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go c.sweep(ctx, done)
 
-	return c, c.close
+	return c, func() {
+		cancel()
+		<-done
+		c.close()
+	}
 }
 
 // Limits bounds one attempt.
@@ -79,13 +93,38 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if known = c.pools[address]; known == nil {
-		known = &pool{address: address}
+		known = &pool{address: address, timeout: c.idle}
 		c.pools[address] = known
 	}
 
 	return known
 }
 
+// sweep closes connections that nobody used for long, and forgets addresses without any.
+func (c *Client) sweep(ctx context.Context, done chan<- struct{}) {
+	defer close(done)
+	ticker := time.NewTicker(c.idle)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			c.retire(now)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *Client) retire(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for address, p := range c.pools {
+		if p.retire(now) {
+			delete(c.pools, address)
+		}
+	}
+}
+
 func (c *Client) close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -134,7 +173,7 @@
 		return a.fail(ctx, StageWait, call.ReasonBroken, err)
 	}
 	if err := a.body(ctx); err != nil {
-		return a.fail(ctx, StageBody, call.ReasonTorn, err)
+		return a.fail(ctx, StageBody, bodyReason(err), err)
 	}
 
 	return nil
--- /dev/null
+++ b/internal/relay/client_test.go
@@ -0,0 +1,211 @@
+package relay_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiotack/pistachiotack/internal/relay"
+	"github.com/pistachiotack/pistachiotack/pkg/call"
+)
+
+const (
+	plenty   = 20 * time.Second
+	bodySize = 1 << 10
+)
+
+// script answers each request on a connection with the next text, and closes after the last one.
+type script struct {
+	address  string
+	accepted atomic.Int64
+}
+
+func newScript(t *testing.T, texts ...string) *script {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	s := &script{address: listener.Addr().String()}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.accepted.Add(1)
+			go answer(conn, texts)
+		}
+	}()
+
+	return s
+}
+
+func answer(conn net.Conn, texts []string) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for _, text := range texts {
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		if _, err := io.WriteString(conn, text); err != nil {
+			return
+		}
+	}
+}
+
+func get(ctx context.Context, client *relay.Client, address string, limits relay.Limits) (*relay.Answer, error) {
+	request := &protocol.Request{}
+	request.Header.SetMethod(http.MethodGet)
+	request.Header.SetRequestURI("/")
+	request.Header.SetHost(address)
+	ctx, cancel := context.WithTimeout(ctx, plenty)
+	defer cancel()
+	got := &relay.Answer{}
+
+	return got, client.Do(ctx, address, request, got, limits)
+}
+
+func TestFaultsSayHowFarTheAttemptCame(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+	tests := map[string]struct {
+		text    string
+		stage   relay.Stage
+		reason  call.Reason
+		outcome call.Outcome
+	}{
+		"closed before an answer": {text: "", stage: relay.StageWait, reason: call.ReasonBroken, outcome: call.OutcomeUnknown},
+		"not HTTP":                {text: "hello there\r\n\r\n", stage: relay.StageWait, reason: call.ReasonBroken, outcome: call.OutcomeUnknown},
+		"shorter than stated":     {text: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart", stage: relay.StageBody, reason: call.ReasonTorn, outcome: call.OutcomeUnknown},
+		"chunk is cut":            {text: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\npart", stage: relay.StageBody, reason: call.ReasonTorn, outcome: call.OutcomeUnknown},
+		"no length":               {text: "HTTP/1.1 200 OK\r\n\r\npart", stage: relay.StageBody, reason: call.ReasonTorn, outcome: call.OutcomeUnknown},
+		"more than stated":        {text: whole + "and more", stage: relay.StageBody, reason: call.ReasonTorn, outcome: call.OutcomeUnknown},
+		"larger than allowed":     {text: "HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n", stage: relay.StageBody, reason: call.ReasonTooLarge, outcome: call.OutcomeUnknown},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			client, closeClient := relay.NewClient(relay.PeerIdle)
+			defer closeClient()
+			_, err := get(t.Context(), client, newScript(t, test.text).address, relay.Limits{Body: bodySize})
+			var fault *relay.Fault
+			require.ErrorAs(t, err, &fault)
+			require.Equal(t, test.stage, fault.Stage)
+			require.Equal(t, test.reason, fault.Reason)
+			require.Equal(t, test.outcome, fault.Outcome())
+		})
+	}
+}
+
+func TestRefusedConnectionIsNotRun(t *testing.T) {
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := listener.Addr().String()
+	require.NoError(t, listener.Close())
+	client, closeClient := relay.NewClient(relay.PeerIdle)
+	defer closeClient()
+	_, err = get(t.Context(), client, address, relay.Limits{Body: bodySize})
+	var fault *relay.Fault
+	require.ErrorAs(t, err, &fault)
+	require.Equal(t, relay.StageDial, fault.Stage)
+	require.Equal(t, call.OutcomeNotRun, fault.Outcome())
+}
+
+func TestConnectionsAreUsedAgainUntilDropped(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+	server := newScript(t, whole, whole, whole, whole)
+	client, closeClient := relay.NewClient(relay.PeerIdle)
+	defer closeClient()
+	for range 3 {
+		got, err := get(t.Context(), client, server.address, relay.Limits{Body: bodySize})
+		require.NoError(t, err)
+		require.Equal(t, "done", string(got.Response.Body()))
+		got.Close()
+	}
+	require.EqualValues(t, 1, server.accepted.Load())
+	client.Drop(server.address)
+	_, err := get(t.Context(), client, server.address, relay.Limits{Body: bodySize})
+	require.NoError(t, err)
+	require.EqualValues(t, 2, server.accepted.Load())
+}
+
+func TestIdleConnectionsAreNotUsedForLong(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+	server := newScript(t, whole, whole)
+	client, closeClient := relay.NewClient(time.Nanosecond * 2)
+	defer closeClient()
+	for range 2 {
+		_, err := get(t.Context(), client, server.address, relay.Limits{Body: bodySize})
+		require.NoError(t, err)
+	}
+	require.EqualValues(t, 2, server.accepted.Load())
+}
+
+func TestSilenceIsAskedAbout(t *testing.T) {
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	client, closeClient := relay.NewClient(relay.PeerIdle)
+	defer closeClient()
+	asked := 0
+	_, err = get(t.Context(), client, listener.Addr().String(), relay.Limits{
+		Body:     bodySize,
+		Progress: time.Millisecond,
+		Waiting: func() error {
+			if asked++; asked < 3 {
+				return nil
+			}
+
+			return call.NewRefusal(call.OutcomeUnknown, call.ReasonSilent)
+		},
+	})
+	var fault *relay.Fault
+	require.ErrorAs(t, err, &fault)
+	require.Equal(t, call.ReasonSilent, fault.Reason)
+	require.Equal(t, 3, asked)
+}
+
+func TestStreamEndsOnlyAtItsTrueEnd(t *testing.T) {
+	tests := map[string]struct {
+		text string
+		cut  bool
+	}{
+		"whole":        {text: "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"},
+		"chunked":      {text: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n"},
+		"length short": {text: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ndone", cut: true},
+		"chunk short":  {text: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\ndone", cut: true},
+		"no last":      {text: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n", cut: true},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			client, closeClient := relay.NewClient(relay.PeerIdle)
+			defer closeClient()
+			request := &protocol.Request{}
+			request.Header.SetRequestURI("/")
+			address := newScript(t, test.text).address
+			request.Header.SetHost(address)
+			ctx, cancel := context.WithTimeout(t.Context(), plenty)
+			defer cancel()
+			got := &relay.Answer{}
+			var body []byte
+			err := client.Do(ctx, address, request, got, relay.Limits{Body: bodySize, Stream: true})
+			if err == nil {
+				body, err = io.ReadAll(got.Stream)
+				got.Close()
+			}
+			if test.cut {
+				require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+
+				return
+			}
+			require.NoError(t, err)
+			require.Equal(t, "done", string(body))
+		})
+	}
+}
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -10,8 +10,6 @@
 
 const (
 	dialTimeout = time.Second
-	// idleTimeout is shorter than the one of the listeners, so that the client closes first.
-	idleTimeout = 30 * time.Second
 	// maxIdle bounds the idle connections to one address.
 	maxIdle = 64
 )
@@ -24,10 +22,12 @@
 // pool keeps the idle connections of one address, the latest used goes out first.
 type pool struct {
 	address string
+	timeout time.Duration
 
 	mu         sync.Mutex
 	idle       []idleConn
 	generation uint64
+	retired    bool
 }
 
 // get returns an idle connection if there is one that is young enough, and the pool's generation.
@@ -35,16 +35,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
+	p.closeOlder(now)
 	last := len(p.idle) - 1
 	if last < 0 {
 		return nil, p.generation
 	}
 	newest := p.idle[last]
-	if now.Sub(newest.since) > idleTimeout {
-		p.closeIdle()
-
-		return nil, p.generation
-	}
 	p.idle = p.idle[:last]
 
 	return newest.conn, p.generation
@@ -55,7 +51,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
-	if generation != p.generation || len(p.idle) >= maxIdle {
+	if p.retired || generation != p.generation || len(p.idle) >= maxIdle {
 		_ = conn.Close()
 
 		return
@@ -69,14 +65,37 @@
 	defer p.mu.Unlock()
 
 	p.generation++
-	p.closeIdle()
+	p.closeFirst(len(p.idle))
+}
+
+// retire closes what is too old, and ends the pool if nothing is left; it reports whether it did.
+func (p *pool) retire(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	p.closeOlder(now)
+	p.retired = len(p.idle) == 0
+
+	return p.retired
 }
 
-func (p *pool) closeIdle() {
-	for _, idle := range p.idle {
+// closeOlder closes the connections that a server may be about to close; the oldest stand first.
+func (p *pool) closeOlder(now time.Time) {
+	count := 0
+	for count < len(p.idle) && now.Sub(p.idle[count].since) > p.timeout {
+		count++
+	}
+	p.closeFirst(count)
+}
+
+func (p *pool) closeFirst(count int) {
+	if count == 0 {
+		return
+	}
+	for _, idle := range p.idle[:count] {
 		_ = idle.conn.Close()
 	}
-	p.idle = p.idle[:0]
+	p.idle = append(p.idle[:0], p.idle[count:]...)
 }
 
 // dial opens a new connection within the time given.
--- a/internal/relay/timing.go
+++ b/internal/relay/timing.go
@@ -31,6 +31,15 @@
 	return cockroach.Is(err, errors.ErrTimeout) || (cockroach.As(err, &timeout) && timeout.Timeout())
 }
 
+// bodyReason tells an answer that is broken from one that is too large to be buffered.
+func bodyReason(err error) call.Reason {
+	if cockroach.Is(err, errors.ErrBodyTooLarge) {
+		return call.ReasonTooLarge
+	}
+
+	return call.ReasonTorn
+}
+
 // waitReason tells a connection that broke from a deadline that passed and from an attempt that was given up.
 func waitReason(err error) call.Reason {
 	var refusal *call.Refusal
--- a/internal/wire/refuse.go
+++ b/internal/wire/refuse.go
@@ -48,6 +48,7 @@
 	call.ReasonFairShare:      statusTooMany,
 	call.ReasonBroken:         statusBadGateway,
 	call.ReasonTorn:           statusBadGateway,
+	call.ReasonTooLarge:       statusBadGateway,
 	call.ReasonBackendFault:   statusBadGateway,
 	call.ReasonDeadline:       statusTimeout,
 	call.ReasonSilent:         statusTimeout,
--- a/pkg/call/envel.go
+++ b/pkg/call/envel.go
@@ -31,6 +31,9 @@
 
 // Feedback is what the executing node sends back with every answer, refusals included.
 type Feedback struct {
+	// Op and Attempt name the attempt that the answer belongs to.
+	Op      ID      `json:"op,omitempty"`
+	Attempt int     `json:"attempt,omitempty"`
 	Outcome Outcome `json:"outcome,omitempty"`
 	Reason  Reason  `json:"reason,omitempty"`
 	Unspent int     `json:"unspent,omitempty"`
--- a/pkg/call/outcome.go
+++ b/pkg/call/outcome.go
@@ -45,6 +45,7 @@
 	ReasonConnect          Reason = "connectFailed"
 	ReasonBroken           Reason = "connectionBroken"
 	ReasonTorn             Reason = "tornAnswer"
+	ReasonTooLarge         Reason = "answerTooLarge"
 	ReasonBackendShed      Reason = "backendShed"
 	ReasonBackendFault     Reason = "backendFault"
 	ReasonUnknownService   Reason = "unknownService"
