Give a refused key another home once its operation is retired

Cause: a key whose first home refused it (draining, overloaded) stayed bound to that home; when the home then ended, the key was unknown for ever although nobody had run it. An entry with a fresh claim said notRun on its own, though another entry could have followed the claim meanwhile.

Change: the fence can retire an operation over all attempts; the entry then moves the key by a conditional write. notRun of a pinned operation is only the home's own word. A key is shown no ticket, as its operation may change.

Retire is part of the fence's property test.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -89,21 +89,51 @@
 	return Ticket{}, false, errors.CombineErrors(errors.Wrapf(ErrAway, "claim key for %s", key.Service), err)
 }
 
+// Move gives the key to the proposed ticket if the retired one still holds it, and returns the holder.
+func Move(ctx context.Context, table Table, key Key, retired, proposed Ticket) (holder Ticket, err error) {
+	value, err := json.Marshal(claim{Ticket: proposed, Caller: key.Caller, Key: key.Key, Print: key.Print})
+	if err != nil {
+		return Ticket{}, errors.Wrap(err, "encode claim")
+	}
+	for try := 0; try < claimTries && ctx.Err() == nil; try++ {
+		var etag string
+		holder, etag, err = read(ctx, table, key)
+		if err == nil && holder != retired {
+			return holder, nil
+		}
+		if err == nil {
+			_, err = table.Put(ctx, key.row(), value, etag)
+		}
+		if err == nil {
+			return proposed, nil
+		}
+		pause(ctx)
+	}
+
+	return Ticket{}, errors.CombineErrors(errors.Wrapf(ErrAway, "move key of %s", key.Service), err)
+}
+
 // Lookup returns the ticket that holds the key; store.ErrNotFound if there is none, ErrOther if it is for another request.
 func Lookup(ctx context.Context, table Table, key Key) (Ticket, error) {
+	holder, _, err := read(ctx, table, key)
+
+	return holder, err
+}
+
+func read(ctx context.Context, table Table, key Key) (holder Ticket, etag string, err error) {
 	row, err := table.Get(ctx, key.row())
 	if err != nil {
-		return Ticket{}, errors.Wrap(err, "look key up")
+		return Ticket{}, "", errors.Wrap(err, "look key up")
 	}
 	var held claim
 	if err := json.Unmarshal(row.Value, &held); err != nil {
-		return Ticket{}, errors.Wrap(err, "decode claim")
+		return Ticket{}, "", errors.Wrap(err, "decode claim")
 	}
 	if held.Key != key.Key || held.Caller != key.Caller || held.Print != key.Print {
-		return Ticket{}, errors.Wrapf(ErrOther, "service %s", key.Service)
+		return Ticket{}, "", errors.Wrapf(ErrOther, "service %s", key.Service)
 	}
 
-	return held.Ticket, nil
+	return held.Ticket, row.ETag, nil
 }
 
 func pause(ctx context.Context) {
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -29,10 +29,10 @@
 // home pins a once operation to the one process that may run it.
 type home struct {
 	ticket claim.Ticket
+	// key is what the operation was claimed for, nil if the caller holds its ticket.
+	key *claim.Key
 	// chosen is the target that the chooser gave for this request, empty if the home was named by the ticket.
 	chosen member.Entry
-	// fresh says that no earlier request can have sent the operation.
-	fresh bool
 	// said says that the outcome of the latest attempt is the home's own word.
 	said bool
 }
@@ -104,9 +104,9 @@
 	return call.NewRefusal(call.OutcomeNotRun, call.ReasonBadRequest).WithDetail("%v", err)
 }
 
-// showTicket gives the caller the ticket, by which it may repeat the request at any node.
+// showTicket gives the caller the ticket it holds; a key may move on to another ticket, and is shown none.
 func (r *request) showTicket() {
-	if r.home != nil {
+	if r.home != nil && r.home.key == nil {
 		r.http.Response.Header.Set(wire.HeaderTicket, r.home.ticket.String())
 	}
 }
@@ -191,7 +191,7 @@
 	if err != nil {
 		return r.noClaim(err)
 	}
-	r.pin(home{ticket: holder, chosen: target, fresh: own})
+	r.pin(home{ticket: holder, key: &key, chosen: target})
 
 	return nil
 }
@@ -205,7 +205,7 @@
 	case err != nil:
 		return r.noClaim(err)
 	}
-	r.pin(home{ticket: holder})
+	r.pin(home{ticket: holder, key: &key})
 
 	return nil
 }
@@ -256,8 +256,7 @@
 
 // correct corrects the refusal of a process that replaced the target, which cannot know that the call is new.
 func (r *request) correct(result Result) Result {
-	fresh := r.home == nil || r.home.fresh
-	if r.policy.Once && fresh && result.HasFeedback && result.Reason == call.ReasonWrongIncarnation {
+	if r.policy.Once && r.home == nil && result.HasFeedback && result.Reason == call.ReasonWrongIncarnation {
 		result.Outcome = call.OutcomeNotRun
 	}
 
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -37,9 +37,13 @@
 		failure = moreTelling(before, failure)
 		before = failure
 		r.mayHaveRun = r.mayHaveRun || failure.Outcome != call.OutcomeNotRun
+		if r.retired(failure) && r.move(c) {
+			continue
+		}
 		if refusal := r.pause(c, failure); refusal != nil {
 			return r.honest(refusal)
 		}
+		r.move(c)
 	}
 }
 
@@ -54,7 +58,7 @@
 
 // honest keeps a refusal from saying notRun when an earlier attempt, or an earlier request with the ticket, may have been run.
 func (r *request) honest(refusal *call.Refusal) *call.Refusal {
-	sent := r.mayHaveRun || (r.home != nil && !r.home.fresh && !r.home.said)
+	sent := r.mayHaveRun || (r.home != nil && !r.home.said)
 	if sent && refusal.Outcome == call.OutcomeNotRun {
 		changed := *refusal
 		changed.Outcome = call.OutcomeUnknown
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -31,8 +31,9 @@
 	// mayHaveRun says that an earlier attempt did not end as notRun.
 	mayHaveRun bool
 	// home pins a once operation, nil for all others; base is where its attempt numbers start.
-	home *home
-	base int
+	home  *home
+	base  int
+	moves int
 }
 
 // handleCaller serves a root request.
--- a/internal/exec/book.go
+++ b/internal/exec/book.go
@@ -126,6 +126,13 @@
 	return b.fence.Resolve(now, a)
 }
 
+func (b *book) retire(now time.Time, a fence.Attempt) Verdict {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return b.fence.Retire(now, a)
+}
+
 // cancel fences an attempt that waits, and ends one that runs unless it is a once operation.
 func (b *book) cancel(now time.Time, a fence.Attempt) Verdict {
 	b.mu.Lock()
--- a/internal/exec/control.go
+++ b/internal/exec/control.go
@@ -12,6 +12,7 @@
 	controlName    = "Exec"
 	MethodResolve  = controlName + ".Resolve"
 	MethodCancel   = controlName + ".Cancel"
+	MethodRetire   = controlName + ".Retire"
 	MethodIdentify = controlName + ".Identify"
 )
 
@@ -60,6 +61,13 @@
 	return nil
 }
 
+// Retire fences a once operation for good, so that it may be given another home.
+func (c *Control) Retire(args ResolveArgs, verdict *Verdict) error {
+	*verdict = c.exec.book.retire(time.Now(), args.Attempt)
+
+	return nil
+}
+
 // Identify returns the incarnation of the process.
 func (c *Control) Identify(_ IdentifyArgs, identity *Identity) error {
 	*identity = Identity{Incarnation: c.exec.options.Incarnation, Service: c.exec.options.Service}
--- a/internal/proof/once_test.go
+++ b/internal/proof/once_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/pistachiotack/pistachiotack/internal/claim"
@@ -24,6 +25,7 @@
 attempts = 20
 retries = 6
 progress = "80ms"
+retryRatio = 0.5
 deadline = "2s"
 
 [service.pokladna.kind.deposit]
@@ -208,7 +210,8 @@
 // TestRecordedAnswerOutlivesItsHome: a home that stops in order leaves its answers in the table.
 func TestRecordedAnswerOutlivesItsHome(t *testing.T) {
 	l := newOnce(t, time.Millisecond)
-	got := l.deposit(t.Context(), l.targets[0], uriOf(depositPath, "kept"), wire.HeaderIdempotencyKey, "kept")
+	ticket := l.ticket(t, l.targets[0], depositPath, pokladna, "kept")
+	got := l.deposit(t.Context(), l.targets[0], ticket)
 	require.Equal(t, http.StatusOK, got.status, got.body)
 	home := l.homeOf(t, got.header)
 	require.NoError(t, home.node.Terminate())
@@ -220,14 +223,38 @@
 		if target == home {
 			continue
 		}
-		again := l.deposit(t.Context(), target, uriOf(depositPath, "kept"), wire.HeaderIdempotencyKey, "kept")
+		again := l.deposit(t.Context(), target, ticket)
 		require.Equal(t, http.StatusOK, again.status, again.body)
 		require.Equal(t, wholeDeposit("kept"), again.body)
 	}
 	home.restart(t)
-	again := l.deposit(t.Context(), home, uriOf(depositPath, "kept"), wire.HeaderIdempotencyKey, "kept")
+	again := l.deposit(t.Context(), home, ticket)
 	require.Equal(t, http.StatusOK, again.status, again.body)
-	require.Equal(t, 1, l.ledger.KeyRuns("kept"))
+	require.Equal(t, 1, l.ledger.Request("kept").Runs)
+}
+
+// TestKeyMovesOnFromAHomeThatRefuses: the refused operation is retired before the key gets another one.
+func TestKeyMovesOnFromAHomeThatRefuses(t *testing.T) {
+	l := newOnce(t, 5*time.Millisecond)
+	for _, target := range l.targets[:2] {
+		target.backend.Change(func(b *fake.Behaviour) { b.Slots, b.Waiting = 0, 0 })
+	}
+	const keys = 10
+	var group sync.WaitGroup
+	for i := range keys * len(l.targets) {
+		key := fmt.Sprint("moved", i%keys)
+		group.Go(func() {
+			assert.EventuallyWithT(t, func(c *assert.CollectT) {
+				got := l.deposit(t.Context(), l.targets[i/keys], uriOf(depositPath, key), wire.HeaderIdempotencyKey, key)
+				assert.Equal(c, http.StatusOK, got.status, got.body)
+				assert.Equal(c, wholeDeposit(key), got.body)
+			}, linePatience, linePoll)
+		})
+	}
+	group.Wait()
+	for i := range keys {
+		require.Equal(t, 1, l.ledger.KeyRuns(fmt.Sprint("moved", i)))
+	}
 }
 
 // homeOfURL returns the target that the ticket in a URL names.
--- a/internal/wire/header.go
+++ b/internal/wire/header.go
@@ -16,7 +16,7 @@
 	// HeaderRetryAfterFine carries the same wait as Retry-After as a Go duration.
 	HeaderRetryAfterFine = "Pistachiotack-Retry-After"
 	HeaderIdempotencyKey = "Idempotency-Key"
-	// HeaderTicket names the ticket of a once operation on every answer to it.
+	// HeaderTicket names the ticket of a once operation on the answers to a caller that holds it.
 	HeaderTicket = "Pistachiotack-Ticket"
 )
 
--- a/pkg/fence/fence.go
+++ b/pkg/fence/fence.go
@@ -57,10 +57,12 @@
 
 // operation is the state of a once operation over all its attempts.
 type operation[A any] struct {
-	owner  int
-	state  State
-	answer *A
-	size   int64
+	owner int
+	state State
+	// retired says that no attempt will ever be admitted.
+	retired bool
+	answer  *A
+	size    int64
 }
 
 // New returns the fence of a node incarnation that has seen nothing yet.
@@ -132,7 +134,7 @@
 		return Verdict[A]{}, false
 	}
 	o, known := f.operations.get(a.Opened, a.Op)
-	if !known || o.state == StateFenced {
+	if !known || (o.state == StateFenced && !o.retired) {
 		return Verdict[A]{}, false
 	}
 
@@ -246,6 +248,28 @@
 	return f.settle(a, call.ReasonFenced)
 }
 
+// Retire fences a once operation over all its attempts, unless it is under way or done; only notRun says that it did.
+func (f *Fence[A]) Retire(now time.Time, a Attempt) Verdict[A] {
+	f.advance(now)
+	if a.Incarnation != f.incarnation {
+		return refused[A](StateUnseen, call.OutcomeUnknown, call.ReasonWrongIncarnation)
+	}
+	if v, known := f.operationVerdict(a); known {
+		return v
+	}
+	if !a.Once || !f.operations.covers(f.now, a.Opened) {
+		return refused[A](StateUnseen, call.OutcomeUnknown, call.ReasonTicketExpired)
+	}
+	if f.operations.size >= f.limits.Operations {
+		return refused[A](StateUnseen, call.OutcomeUnknown, call.ReasonBufferFull)
+	}
+	o := &operation[A]{retired: true}
+	o.state.fire(eventFence)
+	f.operations.put(a.Opened, a.Op, o)
+
+	return refused[A](o.state, call.OutcomeNotRun, call.ReasonFenced)
+}
+
 // Cancel fences an attempt that has not started; one that runs is left to its owner.
 func (f *Fence[A]) Cancel(now time.Time, a Attempt) Verdict[A] {
 	if r, alive := f.live[a.key()]; alive && r.state.fire(eventFence) {
--- a/pkg/fence/fence_test.go
+++ b/pkg/fence/fence_test.go
@@ -37,13 +37,14 @@
 	runs        map[attemptKey]int
 	runsOnce    map[call.ID]int
 	notRun      map[attemptKey]bool
+	retired     map[call.ID]bool
 }
 
 func newWorld(t *rapid.T) *world {
 	w := &world{
 		limits: limits,
 		now:    time.Unix(1_000_000, 0), opened: map[call.ID]fence.Attempt{}, runs: map[attemptKey]int{},
-		runsOnce: map[call.ID]int{}, notRun: map[attemptKey]bool{},
+		runsOnce: map[call.ID]int{}, notRun: map[attemptKey]bool{}, retired: map[call.ID]bool{},
 	}
 	w.limits.Records = rapid.SampledFrom([]int{3, 60}).Draw(t, "records")
 	w.limits.Operations = rapid.SampledFrom([]int{1, 40}).Draw(t, "operations")
@@ -147,6 +148,13 @@
 	}
 }
 
+func (w *world) retire(t *rapid.T) {
+	a, ok := draw(t, &w.sent, false)
+	if ok && w.node.Retire(w.now, a).Outcome == call.OutcomeNotRun {
+		w.retired[a.Op] = true
+	}
+}
+
 func (w *world) wait(t *rapid.T) {
 	w.now = w.now.Add(time.Duration(rapid.SampledFrom([]int{1, 300, 2500, 6000, 70_000, -3000}).Draw(t, "ms")) * time.Millisecond)
 }
@@ -158,6 +166,7 @@
 	}
 	for op, n := range w.runsOnce {
 		require.LessOrEqual(t, n, 1, "once operation %s ran more than once", op)
+		require.False(t, w.retired[op], "once operation %s ran, but was retired", op)
 	}
 }
 
@@ -166,7 +175,7 @@
 		w := newWorld(t)
 		t.Repeat(map[string]func(*rapid.T){
 			"send": w.send, "arrive": w.arrive, "arriveToo": w.arrive, "start": w.start, "startToo": w.start,
-			"finish": w.finish, "refuse": w.refuse, "resolve": w.resolve, "cancel": w.cancel,
+			"finish": w.finish, "refuse": w.refuse, "resolve": w.resolve, "cancel": w.cancel, "retire": w.retire,
 			"wait": w.wait, "widen": func(t *rapid.T) {
 				w.node.Widen(w.now, time.Duration(rapid.IntRange(1, 5).Draw(t, "minutes"))*time.Minute)
 			}, "restart": func(t *rapid.T) {
