Play faults of VMs, links and store against real processes

Cause: the promises were tested one by one, but not while VMs, links and the store fail under load, alone and two at a time. A broken promise is shown with the nodes' decisions about it. The load's HTTP client no longer repeats requests by itself when a connection breaks, which had counted as notRun that ran; requests with keys use a key of their own after a notRun, as a key is bound to one URL.

--- a/internal/fake/caller.go
+++ b/internal/fake/caller.go
@@ -27,6 +27,18 @@
 	}
 }
 
+// EmptyBody is no body that keeps the HTTP client from sending a request twice when a connection breaks.
+func EmptyBody() io.ReadCloser {
+	return io.NopCloser(&emptyReader{})
+}
+
+type emptyReader struct{}
+
+// Read returns io.EOF.
+func (*emptyReader) Read([]byte) (int, error) {
+	return 0, io.EOF
+}
+
 // Gateway calls through the node beside the server.
 type Gateway struct {
 	client  *http.Client
@@ -94,7 +106,7 @@
 }
 
 func send(ctx context.Context, client *http.Client, address string, hop Hop, parent string) (int, []byte, error) {
-	request, err := http.NewRequestWithContext(ctx, hop.Method, "http://"+address+hop.Path, http.NoBody)
+	request, err := http.NewRequestWithContext(ctx, hop.Method, "http://"+address+hop.Path, EmptyBody())
 	if err != nil {
 		return 0, nil, errors.Wrap(err, "make request")
 	}
--- a/internal/fake/ledger.go
+++ b/internal/fake/ledger.go
@@ -24,6 +24,8 @@
 	Runs     int `json:"runs"`
 	// Busy is the time for which slots were held.
 	Busy time.Duration `json:"busy"`
+	// Operation is the one that the latest execution of the request itself named.
+	Operation string `json:"operation"`
 }
 
 // Totals are sums over all requests since the start.
@@ -107,6 +109,7 @@
 		t.Runs++
 		if !v.hop {
 			r.RootRuns++
+			r.Operation = v.operation
 		}
 		if v.key != "" && !v.hop {
 			l.keys[v.key]++
--- a/internal/load/book.go
+++ b/internal/load/book.go
@@ -37,6 +37,8 @@
 // ended is one try whose executions are looked up after the run.
 type ended struct {
 	id      string
+	kind    string
+	reason  string
 	outcome call.Outcome
 	good    bool
 }
@@ -99,7 +101,7 @@
 	}
 	for i, each := range tries {
 		if i+1 == len(tries) || tries[i+1].id != each.id {
-			b.ends = append(b.ends, ended{id: each.id, outcome: each.outcome, good: each.verdict == verdictGood})
+			b.ends = append(b.ends, ended{id: each.id, kind: b.plan.Example.Kinds[from.kind].Name, reason: each.reason, outcome: each.outcome, good: each.verdict == verdictGood})
 		}
 		if each.verdict == verdictRefused || each.verdict == verdictFailed {
 			b.refusals[refusalKey{reason: each.reason, outcome: each.outcome}]++
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -24,9 +24,11 @@
 )
 
 const (
-	hardPause    = 10 * time.Millisecond
-	hardTries    = 50
-	oncePause    = 200 * time.Millisecond
+	hardPause = 10 * time.Millisecond
+	hardTries = 50
+	oncePause = 200 * time.Millisecond
+	// cutTries bounds how often an ordinary client asks again because its connection broke.
+	cutTries     = 2
 	naiveRetries = 3
 	// NaiveTimeout is the timeout of each try without any layer.
 	NaiveTimeout = time.Second
@@ -63,10 +65,10 @@
 	defer cancel()
 
 	to := target{kind: c.kind, path: c.kind.path(c.from.object), mark: fmt.Sprintf("%s.%d", c.prefix, c.from.number)}
+	to.id = to.mark + ".0"
 	if c.keyed() {
-		to.key = to.mark
+		to.key = to.id
 	}
-	to.id = to.mark + ".0"
 	var tries []try
 	for {
 		last := c.try(ctx, to, uint64(len(tries)))
@@ -96,6 +98,9 @@
 	}
 	to.ticket = ""
 	to.id = fmt.Sprintf("%s.%d", to.mark, number)
+	if c.keyed() {
+		to.key = to.id
+	}
 
 	return to
 }
@@ -134,19 +139,23 @@
 	case MannerNaive:
 		return 0, tries <= naiveRetries
 	case MannerPatient:
-		return c.patience(last)
+		return c.patience(tries, last)
 	default:
 		return 0, false
 	}
 }
 
 // patience waits as the refusal says; a once request is repeated by ticket or key until its outcome is known.
-func (c caller) patience(last try) (time.Duration, bool) {
+func (c caller) patience(tries int, last try) (time.Duration, bool) {
 	unknown := last.outcome == call.OutcomeUnknown || last.outcome == ""
 	if c.kind.Once && unknown && (c.keyed() || last.ticket != "") {
 		return max(oncePause, last.retryAfter), true
 	}
 
+	if last.verdict == verdictCut && !c.kind.Once {
+		return 0, tries <= cutTries
+	}
+
 	return last.retryAfter, last.retryAfter > 0
 }
 
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -117,7 +117,7 @@
 			},
 			check: func(t *testing.T, r *load.Report) {
 				require.Zero(t, r.Violations.Sum())
-				require.Equal(t, r.Phases[0].Offered, r.Kinds[0].Failed)
+				require.Equal(t, r.Phases[0].Offered, r.Kinds[0].Cut)
 			},
 		},
 		"ticket": {
--- a/internal/load/mixes.go
+++ b/internal/load/mixes.go
@@ -45,6 +45,8 @@
 	return Example{}, errors.Wrapf(ErrUnknownExample, "find %q", name)
 }
 
+// In both mixes the vital kinds alone need less than the slots of any service, even at three times the capacity.
+
 func rijksbureau() Example {
 	return Example{
 		Name:        "rijksbureau",
@@ -66,10 +68,10 @@
 			{Name: "register", Service: serviceKeuring, Method: http.MethodGet, Path: "/register/%d", Share: 0.06, Class: call.ClassBulk, Bytes: 32 * kib, Work: 160 * ms, Deadline: 2 * time.Second},
 			{Name: "archive", Service: serviceCertificaat, Method: http.MethodGet, Path: "/certificates/%d/archive", Share: 0.02, Class: call.ClassNormal, Archive: true, Bytes: 2 * mib, Deadline: 20 * time.Second},
 			{Name: "issue", Service: serviceCertificaat, Method: http.MethodPost, Path: "/certificates", Share: 0.03, Class: call.ClassHigh, Once: true, Bytes: kib, Work: 120 * ms, Deadline: 5 * time.Second, Calls: []string{"inspection"}},
-			{Name: "status", Service: serviceCertificaat, Method: http.MethodGet, Path: "/certificates/%d", Share: 0.08, Class: call.ClassNormal, Bytes: kib, Work: 60 * ms, Deadline: 2 * time.Second},
-			{Name: "raise", Service: serviceAlarm, Method: http.MethodPost, Path: "/alarms", Share: 0.03, Class: call.ClassVital, Once: true, Bytes: kib, Work: 60 * ms, Deadline: time.Second},
-			{Name: "acknowledge", Service: serviceAlarm, Method: http.MethodPut, Path: "/alarms/%d/acknowledged", Share: 0.03, Class: call.ClassVital, Bytes: kib, Work: 40 * ms, Deadline: time.Second},
-			{Name: "list", Service: serviceAlarm, Method: http.MethodGet, Path: "/alarms/%d", Share: 0.03, Class: call.ClassHigh, Bytes: 4 * kib, Work: 80 * ms, Deadline: 2 * time.Second, Calls: []string{"readings"}},
+			{Name: "status", Service: serviceCertificaat, Method: http.MethodGet, Path: "/certificates/%d", Share: 0.09, Class: call.ClassNormal, Bytes: kib, Work: 60 * ms, Deadline: 2 * time.Second},
+			{Name: "raise", Service: serviceAlarm, Method: http.MethodPost, Path: "/alarms", Share: 0.02, Class: call.ClassVital, Once: true, Bytes: kib, Work: 60 * ms, Deadline: time.Second},
+			{Name: "acknowledge", Service: serviceAlarm, Method: http.MethodPut, Path: "/alarms/%d/acknowledged", Share: 0.02, Class: call.ClassVital, Bytes: kib, Work: 40 * ms, Deadline: time.Second},
+			{Name: "list", Service: serviceAlarm, Method: http.MethodGet, Path: "/alarms/%d", Share: 0.04, Class: call.ClassHigh, Bytes: 4 * kib, Work: 80 * ms, Deadline: 2 * time.Second, Calls: []string{"readings"}},
 		},
 	}
 }
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -30,10 +30,11 @@
 	Good    int     `json:"good"`
 	Share   float64 `json:"share"`
 	Tries   int     `json:"tries"`
-	// Refused, Failed and Timeout say how the requests without a good answer ended.
+	// Refused, Failed, Timeout and Cut say how the requests without a good answer ended.
 	Refused int           `json:"refused"`
 	Failed  int           `json:"failed"`
 	Timeout int           `json:"timeout"`
+	Cut     int           `json:"cut"`
 	P50     time.Duration `json:"p50"`
 	P99     time.Duration `json:"p99"`
 }
@@ -79,6 +80,14 @@
 	return v.Wrong + v.Torn + v.NotRunThatRan + v.RepeatedKeys + v.HopWrong
 }
 
+// Broken is one request that ran though its caller was told notRun.
+type Broken struct {
+	Kind    string      `json:"kind"`
+	Request string      `json:"request"`
+	Reason  string      `json:"reason"`
+	Record  fake.Record `json:"record"`
+}
+
 // Report is all that was seen in one run.
 type Report struct {
 	Name     string  `json:"name"`
@@ -100,8 +109,10 @@
 	WastedRuns  int             `json:"wastedRuns"`
 	Refusals    []RefusalReport `json:"refusals"`
 	Violations  Violations      `json:"violations"`
-	Dropped     int             `json:"dropped"`
-	Series      []Point         `json:"series"`
+	// Broken holds a few of the requests whose promise was broken.
+	Broken  []Broken `json:"broken,omitempty"`
+	Dropped int      `json:"dropped"`
+	Series  []Point  `json:"series"`
 }
 
 func (b *book) report(before, after fake.Totals) *Report {
@@ -141,7 +152,8 @@
 		Phase: phase, Kind: kind.Name, Service: kind.Service, Class: kind.Class.String(),
 		Offered: in.offered, Good: in.good, Share: share(in.good, in.offered), Tries: in.tries,
 		Refused: in.byEnd[verdictRefused],
-		Failed:  in.byEnd[verdictFailed] + in.byEnd[verdictCut] + in.byEnd[verdictConnect],
+		Failed:  in.byEnd[verdictFailed] + in.byEnd[verdictConnect],
+		Cut:     in.byEnd[verdictCut],
 		Timeout: in.byEnd[verdictTimeout],
 		P50:     time.Duration(in.latency.ValueAtQuantile(50)) * time.Microsecond,
 		P99:     time.Duration(in.latency.ValueAtQuantile(99)) * time.Microsecond,
@@ -182,6 +194,15 @@
 	return float64(part) / float64(whole)
 }
 
+// maxBroken bounds the broken promises that are named.
+const maxBroken = 10
+
+func (r *Report) name(broken Broken) {
+	if len(r.Broken) < maxBroken {
+		r.Broken = append(r.Broken, broken)
+	}
+}
+
 // executions compares what callers were told with what backend servers did; the caller holds the lock.
 func (b *book) executions(r *Report) {
 	ledger := b.plan.Ledger
@@ -198,6 +219,7 @@
 		busy += record.Busy
 		if end.outcome == call.OutcomeNotRun && record.RootRuns > 0 {
 			r.Violations.NotRunThatRan++
+			r.name(Broken{Kind: end.kind, Request: end.id, Reason: end.reason, Record: record})
 		}
 		if !end.good {
 			wasted += record.Busy
--- a/internal/load/table.go
+++ b/internal/load/table.go
@@ -19,10 +19,10 @@
 		line("%s\t%.0f\t%.0f\t%.4f\t%.3f\t%.4f", p.Phase, float64(p.Offered)/p.Seconds, p.GoodRate, share(p.Good, p.Offered), p.UsefulShare, p.ImportantShare)
 	}
 	line("")
-	line("phase\tkind\tclass\toffered\tgood\tshare\ttries\trefused\tfailed\ttimeout\tp50\tp99")
+	line("phase\tkind\tclass\toffered\tgood\tshare\ttries\trefused\tfailed\ttimeout\tcut\tp50\tp99")
 	for _, k := range r.Kinds {
-		line("%s\t%s\t%s\t%d\t%d\t%.4f\t%d\t%d\t%d\t%d\t%s\t%s", k.Phase, k.Kind, k.Class, k.Offered, k.Good, k.Share,
-			k.Tries, k.Refused, k.Failed, k.Timeout, k.P50.Round(ms/10), k.P99.Round(ms/10))
+		line("%s\t%s\t%s\t%d\t%d\t%.4f\t%d\t%d\t%d\t%d\t%d\t%s\t%s", k.Phase, k.Kind, k.Class, k.Offered, k.Good, k.Share,
+			k.Tries, k.Refused, k.Failed, k.Timeout, k.Cut, k.P50.Round(ms/10), k.P99.Round(ms/10))
 	}
 	line("")
 	line("recovery\t%s", r.recoveryText())
@@ -31,6 +31,9 @@
 	line("refusals\t%s", r.refusalText())
 	line("broken promises\twrong %d, torn %d, notRun that ran %d, keys run twice %d, wrong at hops %d",
 		r.Violations.Wrong, r.Violations.Torn, r.Violations.NotRunThatRan, r.Violations.RepeatedKeys, r.Violations.HopWrong)
+	for _, broken := range r.Broken {
+		line("\tnotRun that ran: %+v", broken)
+	}
 	if r.Dropped > 0 {
 		line("dropped by the bench\t%d", r.Dropped)
 	}
--- a/internal/load/try.go
+++ b/internal/load/try.go
@@ -104,7 +104,7 @@
 }
 
 func exchange(ctx context.Context, client *http.Client, to target) (*http.Response, error) {
-	request, err := http.NewRequestWithContext(ctx, to.kind.Method, "http://"+to.entry+cmp.Or(to.ticket, to.uri()), http.NoBody)
+	request, err := http.NewRequestWithContext(ctx, to.kind.Method, "http://"+to.entry+cmp.Or(to.ticket, to.uri()), fake.EmptyBody())
 	if err != nil {
 		return nil, errors.Wrap(err, "make request")
 	}
--- a/internal/proof/fleet.go
+++ b/internal/proof/fleet.go
@@ -5,7 +5,10 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,10 +22,15 @@
 const (
 	readyTimeout = 20 * time.Second
 	stopTimeout  = 5 * time.Second
-	// hostNets spreads the fleets of test processes over the loopback net.
-	hostNets = 200
+	// hostNets and fleetNets spread the fleets of test processes over the loopback net.
+	hostNets  = 200
+	firstNet  = 100
+	fleetNets = 150
 )
 
+// fleets counts the fleets of this process, each of which has a net of its own.
+var fleets atomic.Int32
+
 // PolicyNone is a fleet without nodes: callers and backend servers choose targets and retry themselves.
 const PolicyNone = "none"
 
@@ -58,6 +66,7 @@
 	Platform *plat.Platform
 
 	direct load.Direct
+	net    int32
 	links  *Links
 
 	closePlatform func()
@@ -67,7 +76,7 @@
 
 // Start starts backend servers and nodes, and returns when all nodes are ready; the clean-up ends them.
 func Start(ctx context.Context, options Options) (*Fleet, func(), error) {
-	f := &Fleet{options: options, Ledger: fake.NewLedger(), closePlatform: func() {}}
+	f := &Fleet{options: options, Ledger: fake.NewLedger(), net: firstNet + fleets.Add(1)%fleetNets, closePlatform: func() {}}
 	backends, closeBackends, err := load.StartBackends(ctx, options.Example, f.Ledger, options.Seed)
 	if err != nil {
 		return nil, nil, err
@@ -124,14 +133,10 @@
 }
 
 func (f *Fleet) node(number int, backend *load.Backend) (config.Node, error) {
-	host := fmt.Sprintf("127.%d.1.%d", 1+os.Getpid()%hostNets, number+1)
 	listen := config.Listen{}
-	for _, address := range []*string{&listen.Callers, &listen.Peers, &listen.Control, &listen.Backend, &listen.Operators} {
-		free, err := reserve(host)
-		if err != nil {
-			return config.Node{}, err
-		}
-		*address = free
+	host := fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%hostNets, f.net, number+1)
+	if err := Reserve(host, &listen.Callers, &listen.Peers, &listen.Control, &listen.Backend, &listen.Operators); err != nil {
+		return config.Node{}, err
 	}
 
 	return config.Node{
@@ -145,15 +150,18 @@
 	}, nil
 }
 
-// reserve returns a free address on a host that no outgoing connection uses, so that a restarted node finds it free.
-func reserve(host string) (string, error) {
-	listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", net.JoinHostPort(host, "0"))
-	if err != nil {
-		return "", errors.Wrapf(err, "reserve a port on %s", host)
+// Reserve finds free addresses on a host that no outgoing connection uses, so that a restarted node finds them free.
+func Reserve(host string, addresses ...*string) error {
+	for _, address := range addresses {
+		listener, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", net.JoinHostPort(host, "0"))
+		if err != nil {
+			return errors.Wrapf(err, "reserve a port on %s", host)
+		}
+		defer func() { _ = listener.Close() }()
+		*address = listener.Addr().String()
 	}
-	defer func() { _ = listener.Close() }()
 
-	return listener.Addr().String(), nil
+	return nil
 }
 
 func (f *Fleet) startNodes(ctx context.Context) error {
@@ -236,6 +244,21 @@
 	return f.links
 }
 
+// Trail returns what the nodes logged about an operation.
+func (f *Fleet) Trail(operation string) string {
+	var lines []string
+	for _, member := range f.Members {
+		for line := range strings.Lines(member.Node.log()) {
+			if strings.Contains(line, operation) {
+				lines = append(lines, line)
+			}
+		}
+	}
+	slices.Sort(lines)
+
+	return strings.Join(lines, "")
+}
+
 // stop ends the nodes that still run, gracefully if they can.
 func (f *Fleet) stop() {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
--- a/internal/proof/line_test.go
+++ b/internal/proof/line_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -74,15 +73,6 @@
 	return fmt.Sprintf("127.%d.2.%d", 1+os.Getpid()%200, number+1)
 }
 
-func freeAddress(t *testing.T, host string) string {
-	t.Helper()
-	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", net.JoinHostPort(host, "0"))
-	require.NoError(t, err)
-	defer func() { _ = listener.Close() }()
-
-	return listener.Addr().String()
-}
-
 func newLine(t *testing.T, options lineOptions) *line {
 	t.Helper()
 	l := &line{ledger: fake.NewLedger(), client: fake.NewClient()}
@@ -117,13 +107,11 @@
 		fake.Behaviour{Slots: lineSlots, Waiting: lineSlots})
 	require.NoError(t, err)
 	t.Cleanup(clean)
-	address := host(number)
+	listen := config.Listen{}
+	require.NoError(t, proof.Reserve(host(number), &listen.Callers, &listen.Peers, &listen.Control, &listen.Backend, &listen.Operators))
 	settings := config.Node{
 		Name: fmt.Sprintf("%s-%d", service.name, i), DataCentre: "hal-a", Service: service.name, Tree: tree, Platform: table,
-		Listen: config.Listen{
-			Callers: freeAddress(t, address), Peers: freeAddress(t, address), Control: freeAddress(t, address),
-			Backend: freeAddress(t, address), Operators: freeAddress(t, address),
-		},
+		Listen:  listen,
 		Backend: config.Backend{Address: backend.Address(), Slots: lineSlots},
 	}
 	if service.handler != nil {
--- a/internal/proof/main_test.go
+++ b/internal/proof/main_test.go
@@ -34,7 +34,7 @@
 	return example
 }
 
-// start runs a fleet and shows the nodes' logs if the test fails.
+// start runs a fleet of the example's nodes.
 func start(t *testing.T, options proof.Options) *proof.Fleet {
 	t.Helper()
 	binary, err := proof.Binary(t.Context())
@@ -45,23 +45,21 @@
 	if options.Policy == "" {
 		options.Policy = config.PolicyAdaptive
 	}
+	options.Change = func(n *config.Node) { n.Log.Decisions = true }
 	fleet, clean, err := proof.Start(t.Context(), options)
 	require.NoError(t, err)
-	t.Cleanup(func() {
-		clean()
-		if t.Failed() {
-			showLogs(t, fleet)
-		}
-	})
+	t.Cleanup(clean)
 
 	return fleet
 }
 
-func showLogs(t *testing.T, fleet *proof.Fleet) {
+// requireKept fails with the nodes' decisions about the requests whose promise was broken.
+func requireKept(t *testing.T, fleet *proof.Fleet, report *load.Report) {
 	t.Helper()
-	for _, member := range fleet.Members[:min(2, len(fleet.Members))] {
-		t.Logf("end of the log of %s:\n%s", member.Backend.Name, member.Node.Log())
+	for _, broken := range report.Broken {
+		t.Logf("%+v\n%s", broken, fleet.Trail(broken.Record.Operation))
 	}
+	require.Equal(t, load.Violations{}, report.Violations)
 }
 
 func treeOf(t *testing.T, name string) string {
--- a/internal/proof/path_test.go
+++ b/internal/proof/path_test.go
@@ -14,14 +14,16 @@
 )
 
 func TestCallsTravelThroughRealProcesses(t *testing.T) {
+	t.Parallel()
 	for _, name := range []string{"rijksbureau", "vysocina"} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			fleet := start(t, proof.Options{Example: example(t, name), Tree: treeOf(t, name)})
 			report, err := fleet.Play(t.Context(), proof.Scene{Name: "calm", Usual: 0.1}, proof.Timing{
 				Before: time.Second, During: time.Second, After: time.Second,
 			}, nil)
 			require.NoError(t, err)
-			require.Equal(t, load.Violations{}, report.Violations)
+			requireKept(t, fleet, report)
 			for _, kind := range report.Kinds {
 				require.Equal(t, kind.Offered, kind.Good, "%s %s: %+v", kind.Phase, kind.Kind, report.Refusals)
 			}
@@ -55,13 +57,14 @@
 const attemptsInTree = 6
 
 func TestAttemptsStayBoundedWhenEveryHopFails(t *testing.T) {
+	t.Parallel()
 	fleet := start(t, proof.Options{Example: chain()})
 	for _, member := range fleet.Of("kalendar") {
 		member.Backend.Server.Change(func(b *fake.Behaviour) { b.FailShare = 1 })
 	}
 	report, err := fleet.Play(t.Context(), proof.Scene{Name: "chain", Usual: 0.005, Rate: 0.02, Hard: true}, shortTiming(), nil)
 	require.NoError(t, err)
-	require.Equal(t, load.Violations{}, report.Violations)
+	requireKept(t, fleet, report)
 	require.Zero(t, report.Phases[0].Good)
 	require.Positive(t, report.Attempts.Max)
 	require.LessOrEqual(t, report.Attempts.Max, attemptsInTree)
--- a/internal/proof/proc.go
+++ b/internal/proof/proc.go
@@ -162,10 +162,16 @@
 
 // Log returns the end of what the node wrote.
 func (p *Process) Log() string {
+	text := p.log()
+
+	return text[max(0, len(text)-logTail):]
+}
+
+func (p *Process) log() string {
 	text, err := os.ReadFile(p.stem + ".log")
 	if err != nil {
 		return ""
 	}
 
-	return string(text[max(0, len(text)-logTail):])
+	return string(text)
 }
--- a/internal/proof/scene.go
+++ b/internal/proof/scene.go
@@ -29,6 +29,8 @@
 	Usual float64
 	// Rate is the rate during the trigger as a share of the capacity, zero for the usual one.
 	Rate float64
+	// Linked says that the scene needs proxies between the nodes.
+	Linked bool
 	// Hard makes the callers ask again at once during the trigger.
 	Hard bool
 	// Begin and End switch the trigger, nil for nothing.
--- a/tools/bench/run.go
+++ b/tools/bench/run.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -21,7 +22,7 @@
 )
 
 type runCommand struct {
-	Scene    []string      `help:"Scenes to play, \"each\" for all of them." default:"each"`
+	Scene    []string      `help:"Scenes to play, \"each\" for all triggers of overload, \"faults\" for all faults." default:"each"`
 	Example  string        `help:"Example whose services and mix are used." enum:"rijksbureau,vysocina" default:"rijksbureau"`
 	Variants []string      `help:"Variants in order: none, baseline, adaptive." default:"none,baseline,adaptive"`
 	Seed     uint64        `help:"Seed of arrivals, kinds and service times." default:"1"`
@@ -53,11 +54,24 @@
 }
 
 func (r *runCommand) scenes() []string {
-	if len(r.Scene) != 1 || r.Scene[0] != "each" {
-		return r.Scene
-	}
 	var names []string
-	for _, scene := range proof.Scenes() {
+	for _, name := range r.Scene {
+		switch name {
+		case "each":
+			names = append(names, namesOf(proof.Scenes())...)
+		case "faults":
+			names = append(names, namesOf(proof.Faults())...)
+		default:
+			names = append(names, name)
+		}
+	}
+
+	return names
+}
+
+func namesOf(scenes []proof.Scene) []string {
+	names := make([]string, 0, len(scenes))
+	for _, scene := range scenes {
 		names = append(names, scene.Name)
 	}
 
@@ -66,7 +80,7 @@
 
 // compare plays one scene against each variant, with a fresh fleet.
 func (r *runCommand) compare(ctx context.Context, binary, name string) error {
-	scene, err := proof.FindScene(proof.Scenes(), name)
+	scene, err := proof.FindScene(slices.Concat(proof.Scenes(), proof.Faults()), name)
 	if err != nil {
 		return err
 	}
@@ -101,7 +115,8 @@
 	}
 	fleet, clean, err := proof.Start(ctx, proof.Options{
 		Example: example, Seed: r.Seed, Binary: binary, Directory: directory, Policy: variant,
-		Tree: filepath.Join("examples", r.Example, "tree.toml"),
+		Linked: scene.Linked,
+		Tree:   filepath.Join("examples", r.Example, "tree.toml"),
 	})
 	if err != nil {
 		return nil, err
