--- a/internal/exec/adapt.go
+++ b/internal/exec/adapt.go
@@ -207,7 +207,7 @@
 	}
 	if !item.Policy.Stream {
 		a.sizes.learn(item.Policy.Kind, finished.Bytes)
-		sample := limit.Sample{Latency: finished.Took, Inflight: inflight, Verdict: verdictOf(finished)}
+		sample := limit.Sample{Kind: item.Policy.Kind, Latency: finished.Took, Inflight: inflight, Verdict: verdictOf(finished)}
 		if change, changed := a.limiter.Observe(now, sample); changed {
 			a.apply(now, change)
 		}
@@ -225,7 +225,7 @@
 		Step:    trace.StepLimit,
 		Service: a.options.Service,
 		Reason:  change.Reason,
-		Detail:  strconv.Itoa(change.Before) + " to " + strconv.Itoa(change.Limit),
+		Detail:  strconv.Itoa(change.Before) + " to " + strconv.Itoa(change.Limit) + ", slowness " + strconv.FormatFloat(change.Slowness, 'f', 2, 64),
 		Took:    change.Latency,
 	})
 }
--- a/pkg/limit/limit.go
+++ b/pkg/limit/limit.go
@@ -23,7 +23,6 @@
 	// reportTolerance is the same once the backend server reports that it is full.
 	reportTolerance = 1.3
 	reportAge       = time.Second
-	baseAgeing      = 0.002
 	rateSmoothing   = 0.3
 	tryFactor       = 0.85
 	// keepShare is the share of the throughput before that a lower limit has to carry to be kept.
@@ -66,7 +65,8 @@
 	Limit   int
 	Reason  call.Reason
 	Latency time.Duration
-	Base    time.Duration
+	// Slowness is the latency as a multiple of the one without contention.
+	Slowness float64
 }
 
 // trial is an attempt to carry the same throughput with less concurrency.
@@ -82,7 +82,7 @@
 	limit  float64
 	// ceiling is where growth turns from doubling to adding.
 	ceiling float64
-	base    time.Duration
+	bases   bases
 	// rate is the smoothed throughput of a full node, best the one that a series of trials began with.
 	rate   float64
 	best   float64
@@ -100,7 +100,7 @@
 func New(bounds Bounds, now time.Time) *Limiter {
 	start := bounds.start()
 	bounds = bounds.normal()
-	l := &Limiter{bounds: bounds, ceiling: float64(bounds.Max), wait: holdFirst}
+	l := &Limiter{bases: bases{}, bounds: bounds, ceiling: float64(bounds.Max), wait: holdFirst}
 	l.set(float64(start))
 	l.window.start = now
 
@@ -130,20 +130,22 @@
 
 // Observe takes one finished execution and reports whether the limit changed.
 func (l *Limiter) Observe(now time.Time, sample Sample) (Change, bool) {
-	l.window.add(sample)
+	l.add(sample)
 	if !l.window.full(now, l.trial.settled) {
 		return Change{}, false
 	}
 	before := l.Limit()
+	trying := l.trial.active
 	reason := l.judge(now)
 	change, changed := l.change(before, reason)
+	l.bases.roll(l.window.maxInflight >= before, !trying)
 	l.window = window{start: now}
 
 	return change, changed
 }
 
 func (l *Limiter) change(before int, reason call.Reason) (Change, bool) {
-	change := Change{Before: before, Limit: l.Limit(), Reason: reason, Latency: l.window.mean(), Base: l.base}
+	change := Change{Before: before, Limit: l.Limit(), Reason: reason, Latency: l.window.mean(), Slowness: l.window.slowness()}
 
 	return change, change.Limit != before
 }
@@ -155,7 +157,6 @@
 // judge closes a window.
 func (l *Limiter) judge(now time.Time) call.Reason {
 	w := &l.window
-	l.learn(w.mean())
 	l.measure(now)
 	l.hold = max(l.hold-1, 0)
 	if float64(w.shed) > shedShare*float64(w.samples) {
@@ -176,17 +177,18 @@
 	return l.startTrial()
 }
 
-// learn keeps the lowest latency, which ages towards the present one.
-func (l *Limiter) learn(mean time.Duration) {
-	if mean == 0 {
-		return
+// add takes a sample into the window.
+func (l *Limiter) add(s Sample) {
+	base := time.Duration(0)
+	if s.Verdict == VerdictOK || s.Verdict == VerdictLate {
+		base = l.bases.add(s.Kind, s.Latency)
 	}
-	if l.base == 0 || mean < l.base {
-		l.base = mean
+	l.window.add(s, base)
+}
 
-		return
-	}
-	l.base += time.Duration(float64(mean-l.base) * baseAgeing)
+// accept takes the present latency for the one without contention.
+func (l *Limiter) accept() {
+	l.bases.scale(math.Max(l.window.slowness(), 1))
 }
 
 // measure follows the throughput while the node is full.
@@ -212,7 +214,7 @@
 	}
 	late := l.window.late*2 > l.window.samples
 
-	return late || float64(l.window.mean()) > limit*float64(l.base)
+	return late || l.window.slowness() > limit
 }
 
 // fall follows the backend server's own shedding, to where it shed and no further than a fifth at a time.
@@ -232,7 +234,7 @@
 // startTrial tries less concurrency; where there is no less, the latency has other causes and becomes the base.
 func (l *Limiter) startTrial() call.Reason {
 	if int(l.limit*tryFactor) < l.bounds.Min {
-		l.base = l.window.mean()
+		l.accept()
 
 		return l.grow()
 	}
@@ -261,7 +263,7 @@
 		return ReasonKeepLess
 	}
 	l.set(from)
-	l.base = max(l.base, l.window.mean())
+	l.accept()
 	l.best = 0
 	l.hold = l.wait
 	l.wait = min(l.wait*2, holdLast)
--- a/pkg/limit/limit_test.go
+++ b/pkg/limit/limit_test.go
@@ -82,6 +82,23 @@
 	require.Greater(t, rate, 900.0)
 }
 
+func TestAnotherMixOfKindsIsNoContention(t *testing.T) {
+	l := limit.New(limit.Bounds{Min: 2, Max: 50}, start)
+	now, lowest := start, 50
+	for i := range 6000 {
+		kind, latency := "light", 20*time.Millisecond
+		if i/200%2 == 1 {
+			kind, latency = "heavy", 200*time.Millisecond
+		}
+		now = now.Add(latency / time.Duration(l.Limit()))
+		l.Observe(now, limit.Sample{Kind: kind, Latency: latency, Inflight: l.Limit()})
+		if i > 2000 {
+			lowest = min(lowest, l.Limit())
+		}
+	}
+	require.Equal(t, 50, lowest)
+}
+
 func TestFollowsBackendShedding(t *testing.T) {
 	l := limit.New(limit.Bounds{Min: 2, Max: 100}, start)
 	shedding := flat(20 * time.Millisecond)
--- a/pkg/limit/window.go
+++ b/pkg/limit/window.go
@@ -19,6 +19,7 @@
 
 // Sample is one finished execution.
 type Sample struct {
+	Kind    string
 	Latency time.Duration
 	// Inflight is the number of executions that ran when this one began, itself included.
 	Inflight int
@@ -40,22 +41,23 @@
 	shed        int
 	late        int
 	latency     time.Duration
+	expected    time.Duration
 	timed       int
 	maxInflight int
 	// shedInflight is the lowest concurrency at which the backend server shed.
 	shedInflight int
 }
 
-func (w *window) add(s Sample) {
+func (w *window) add(s Sample, base time.Duration) {
 	w.samples++
 	w.maxInflight = max(w.maxInflight, s.Inflight)
 	switch s.Verdict {
 	case VerdictOK:
 		w.ok++
-		w.time(s.Latency)
+		w.time(s.Latency, base)
 	case VerdictLate:
 		w.late++
-		w.time(s.Latency)
+		w.time(s.Latency, base)
 	case VerdictShed:
 		if w.shed == 0 || s.Inflight < w.shedInflight {
 			w.shedInflight = s.Inflight
@@ -65,8 +67,9 @@
 	}
 }
 
-func (w *window) time(latency time.Duration) {
+func (w *window) time(latency, base time.Duration) {
 	w.latency += latency
+	w.expected += base
 	w.timed++
 }
 
@@ -90,6 +93,15 @@
 	return w.latency / time.Duration(w.timed)
 }
 
+// slowness returns the latency as a multiple of what the same kinds take without contention, zero if nothing was timed.
+func (w *window) slowness() float64 {
+	if w.expected <= 0 {
+		return 0
+	}
+
+	return float64(w.latency) / float64(w.expected)
+}
+
 // rate returns the good answers per second.
 func (w *window) rate(now time.Time) float64 {
 	age := now.Sub(w.start).Seconds()
