Let repetitions of a request keep their rank

Cause: each try of a caller that retries hard drew a new rank, so that one in many got above any threshold; the threshold had to rise until callers that come once stood no chance. Change: the rank within a class comes from caller, method, path and key, and changes once in a mean Retry-After, at different times for different requests. Calls below inherit it.

--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -66,9 +66,12 @@
 		budget = min(budget, stated)
 	}
 
+	caller := callerOf(ctx)
+
 	return &scope.Scope{
 		Root:     call.NewRoot(),
-		Caller:   callerOf(ctx),
+		Caller:   caller,
+		Rank:     drawRank(ctx, caller, policy, now),
 		Ledger:   scope.NewLedger(credit.Grant{Attempts: policy.Attempts, Retries: policy.Retries}, 0, policy.Depth),
 		Expires:  now.Add(budget),
 		Snapshot: snapshot,
@@ -87,7 +90,7 @@
 		op:      call.NewID(),
 		scope:   inherited,
 		policy:  policy,
-		rank:    max(inherited.Rank, call.NewRank(policy.Priority, inherited.Root)),
+		rank:    rankOf(inherited, policy),
 		started: now,
 		expires: deadline(inherited.Expires, ctx, now),
 	}
