--- a/internal/holder/spread_bench_test.go
+++ b/internal/holder/spread_bench_test.go
@@ -56,15 +56,17 @@
 	coordinator := f.nodes[0]
 	revision := coordinator.Record().Revision + 1
 	decided := make(chan holder.Result, 1)
-	edit := coordinator.edit(b, "bench", "attempts", fmt.Sprint(2+revision%60))
+	edit := coordinator.edit(b, "bench", "attempts", fmt.Sprint(10+revision%50))
 	go func() { decided <- coordinator.Propose(context.Background(), edit) }()
-	for coordinator.Snapshot().Revision() < revision {
+	for coordinator.Record().Revision < revision {
+		require.Empty(b, decided, "decided without a new revision")
 		time.Sleep(100 * time.Microsecond)
 	}
 	f.platform.SetFault(plat.NewFault(mode))
 	began := coordinator.Record().At
 	waits := make([]time.Duration, len(f.nodes))
 	for left := len(waits); left > 0; time.Sleep(200 * time.Microsecond) {
+		require.Less(b, time.Since(began), patience, "%d nodes without the revision", left)
 		for i, n := range f.nodes {
 			if waits[i] == 0 && n.Snapshot().Revision() >= revision {
 				waits[i] = time.Since(began)
@@ -72,7 +74,8 @@
 			}
 		}
 	}
-	require.Equal(b, trial.StateAccepted, (<-decided).State)
+	result := <-decided
+	require.Equal(b, trial.StateAccepted, result.State, result.Detail)
 	f.platform.SetFault(plat.NewFault(plat.ModeNone))
 	require.Eventually(b, func() bool {
 		_, err := f.store.Get(context.Background(), "settings/head")
--- a/pkg/trial/judge.go
+++ b/pkg/trial/judge.go
@@ -83,6 +83,8 @@
 const (
 	// minEvidence is the least number of important requests that a judgement rests on.
 	minEvidence = 20
+	// minSuspicion is the least number for a refusal, where enough others fare clearly better.
+	minSuspicion = 8
 	// patience is how often the trial's time passes before a lack of requests decides it.
 	patience = 2
 	// worseShare and worseDeviations say by how much the trial must fall behind the control.
@@ -94,17 +96,17 @@
 func Judge(guard Guard, elapsed time.Duration, views []View) Verdict {
 	seen, outside := false, ""
 	for _, view := range views {
-		if view.Trial.Offered < minEvidence {
-			continue
-		}
-		seen = true
+		enough := view.Trial.Offered >= minEvidence
+		seen = seen || enough
 		if view.Trial.Share() >= guard.Goodput {
 			continue
 		}
-		if view.Control.Offered < minEvidence || view.worse() {
+		if view.breaks() {
 			return Verdict{Action: ActionRefuse, Reason: ReasonGuardBroken, Detail: view.describe(guard)}
 		}
-		outside = view.describe(guard)
+		if enough {
+			outside = view.describe(guard)
+		}
 	}
 	switch {
 	case elapsed < guard.Time:
@@ -130,6 +132,15 @@
 	}
 }
 
+// breaks reports whether a share below the guard is the proposal's doing, as far as can be told.
+func (v View) breaks() bool {
+	if v.Control.Offered < minEvidence {
+		return v.Trial.Offered >= minEvidence
+	}
+
+	return v.Trial.Offered >= minSuspicion && v.worse()
+}
+
 // worse reports whether the trial fell behind the control by more than chance explains.
 func (v View) worse() bool {
 	gap := v.Control.Share() - v.Trial.Share()
--- a/pkg/trial/trial_test.go
+++ b/pkg/trial/trial_test.go
@@ -39,6 +39,8 @@
 		"bad at once":              {1 * second, count(100, 50), count(400, 400), false, trial.ActionRefuse, trial.ReasonGuardBroken},
 		"bad without control":      {1 * second, count(100, 50), count(0, 0), false, trial.ActionRefuse, trial.ReasonGuardBroken},
 		"too little to tell":       {1 * second, count(5, 0), count(400, 400), false, trial.ActionWait, ""},
+		"few but far behind":       {1 * second, count(8, 2), count(400, 400), false, trial.ActionRefuse, trial.ReasonGuardBroken},
+		"few without control":      {1 * second, count(8, 2), count(4, 4), false, trial.ActionWait, ""},
 		"overload all over":        {5 * second, count(100, 50), count(400, 200), false, trial.ActionAccept, trial.ReasonOtherOverload},
 		"bad in an overload":       {5 * second, count(200, 50), count(400, 200), false, trial.ActionRefuse, trial.ReasonGuardBroken},
 		"better in an overload":    {5 * second, count(100, 80), count(400, 200), false, trial.ActionAccept, trial.ReasonOtherOverload},
