Forget attempts early when the fence is full, instead of refusing

Cause: 30,000 records in 5 s are 6,000 attempts a second at one node; beyond that all calls were refused.

Change: when full, the oldest bucket is forgotten and what it covered is refused as stale, down to one second of memory. Bounds of once operations and answers halved, so that a full fence stays under 10 MB.

--- a/pkg/fence/fence.go
+++ b/pkg/fence/fence.go
@@ -10,6 +10,8 @@
 type Limits struct {
 	// AttemptMemory is how long an attempt is remembered; one issued earlier is refused.
 	AttemptMemory time.Duration
+	// LeastMemory is what remains of it when the records are full, before attempts are refused.
+	LeastMemory time.Duration
 	// AnswerMemory is how long a once operation is remembered; one opened earlier is refused.
 	AnswerMemory time.Duration
 	// Records is the most attempts remembered.
@@ -24,10 +26,11 @@
 func DefaultLimits() Limits {
 	return Limits{
 		AttemptMemory: 5 * time.Second,
+		LeastMemory:   time.Second,
 		AnswerMemory:  10 * time.Minute,
 		Records:       30_000,
-		Operations:    30_000,
-		AnswerBytes:   4 << 20,
+		Operations:    15_000,
+		AnswerBytes:   2 << 20,
 	}
 }
 
@@ -141,17 +144,24 @@
 	return verdictOf(o.state, call.ReasonDuplicate, o.answer), true
 }
 
+// full makes room by forgetting early, and reports whether there is none.
 func (f *Fence[A]) full(a Attempt) bool {
 	if a.Once && f.operations.size >= f.limits.Operations {
 		return true
 	}
 
-	return len(f.live)+f.past.size >= f.limits.Records
+	for len(f.live)+f.past.size >= f.limits.Records {
+		if !f.past.shrink(f.now, f.limits.LeastMemory) {
+			return true
+		}
+	}
+
+	return false
 }
 
 // settle fences an attempt that will not run; without room to remember that, nothing is promised.
 func (f *Fence[A]) settle(a Attempt, reason call.Reason) Verdict[A] {
-	if f.past.size >= fencedShare*f.limits.Records {
+	if f.past.size >= fencedShare*f.limits.Records || !f.past.covers(f.now, a.Issued) {
 		return refused[A](StateUnseen, call.OutcomeUnknown, reason)
 	}
 	state := StateUnseen
--- a/pkg/fence/fence_test.go
+++ b/pkg/fence/fence_test.go
@@ -12,7 +12,7 @@
 	"github.com/pistachiotack/pistachiotack/pkg/fence"
 )
 
-var limits = fence.Limits{AttemptMemory: 5 * time.Second, AnswerMemory: time.Minute, Records: 60, Operations: 40, AnswerBytes: 200}
+var limits = fence.Limits{AttemptMemory: 5 * time.Second, LeastMemory: time.Second, AnswerMemory: time.Minute, Records: 60, Operations: 40, AnswerBytes: 200}
 
 type attemptKey struct {
 	op     call.ID
@@ -286,6 +286,21 @@
 	require.True(t, f.Arrive(now, attempt(2, false, now)).Admitted())
 }
 
+func TestFullMemoryForgetsEarlyAndRefusesWhatIsOlder(t *testing.T) {
+	now := time.Unix(1000, 0)
+	f := fence.New[string](7, limits)
+	for i := range 6 * limits.Records {
+		now = now.Add(2 * time.Second / time.Duration(limits.Records))
+		a := attempt(i, false, now)
+		require.True(t, f.Arrive(now, a).Admitted(), "attempt %d", i)
+		require.True(t, f.Start(a))
+		f.Finish(a, nil, 0)
+	}
+	require.Equal(t, call.ReasonStale, f.Arrive(now, attempt(-1, false, now.Add(-4*time.Second))).Reason)
+	require.Equal(t, call.ReasonStale, f.Resolve(now, attempt(-2, false, now.Add(-4*time.Second))).Reason)
+	require.Equal(t, call.OutcomeNotRun, f.Resolve(now, attempt(-3, false, now)).Outcome)
+}
+
 func TestAnotherIncarnationPromisesNothing(t *testing.T) {
 	now := time.Unix(1000, 0)
 	f := fence.New[string](8, limits)
--- a/pkg/fence/memory.go
+++ b/pkg/fence/memory.go
@@ -40,7 +40,7 @@
 
 // covers reports whether everything of that time is still remembered at now.
 func (m *memory[K, V]) covers(now, at time.Time) bool {
-	return at.After(m.floor) && at.After(now.Add(-m.span)) && at.Before(now.Add(m.span))
+	return !at.Before(m.floor) && at.After(now.Add(-m.span)) && at.Before(now.Add(m.span))
 }
 
 // widen remembers longer from now on.
@@ -54,6 +54,25 @@
 	m.span = span
 }
 
+// shrink forgets the oldest bucket for room, unless that lies within the least span before now.
+func (m *memory[K, V]) shrink(now time.Time, least time.Duration) bool {
+	oldest := m.bucket(now)
+	for index := range m.buckets {
+		oldest = min(oldest, index)
+	}
+	end := time.Unix(0, (oldest+1)*int64(m.width))
+	if end.After(now.Add(-least)) {
+		return false
+	}
+	m.size -= len(m.buckets[oldest])
+	delete(m.buckets, oldest)
+	if end.After(m.floor) {
+		m.floor = end
+	}
+
+	return true
+}
+
 // expire forgets the buckets that covers refuses whole, and hands their values to drop.
 func (m *memory[K, V]) expire(now time.Time, drop func(K, V)) {
 	oldest := m.bucket(now.Add(-m.span))
