--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -88,7 +88,7 @@
 	fmt.Fprintf(env.Err, "pistachiotack: %v\n", err)
 	var file *config.FileError
 	var problems tree.Problems
-	if errors.As(err, &file) || errors.As(err, &problems) || errors.Is(err, fs.ErrNotExist) {
+	if errors.As(err, &file) || errors.As(err, &problems) || errors.Is(err, fs.ErrNotExist) || errors.Is(err, ErrNoBase) {
 		return ExitUsage
 	}
 
--- a/internal/cmds/print.go
+++ b/internal/cmds/print.go
@@ -11,16 +11,16 @@
 )
 
 func printStatus(out io.Writer, status holder.Status) {
-	fmt.Fprintf(out, "# revision %d", status.Revision)
+	fmt.Fprintf(out, headerRevision+"%d", status.Revision)
 	if status.Revision > 0 {
 		fmt.Fprintf(out, ", edit %s by %s, %s", status.Edit, status.Author, status.At.Format(time.RFC3339))
 	}
 	fmt.Fprintln(out)
 	if status.Trial != "" {
-		fmt.Fprintf(out, "# on trial at this node: edit %s\n", status.Trial)
+		fmt.Fprintf(out, headerTrial+"edit %s\n", status.Trial)
 	}
 	for _, line := range status.Degraded {
-		fmt.Fprintf(out, "# degraded: %s\n", line)
+		fmt.Fprintf(out, headerDegraded+"%s\n", line)
 	}
 	fmt.Fprint(out, status.Text)
 }
--- a/internal/cmds/settings.go
+++ b/internal/cmds/settings.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"net/http"
 	"net/url"
-	"os"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
@@ -17,6 +16,9 @@
 // ErrNotAccepted is returned for an edit that is not in force.
 var ErrNotAccepted = errors.New("edit was not accepted")
 
+// ErrNoBase is returned for a file that does not say which revision it was made from.
+var ErrNoBase = errors.New("the file does not name the revision it was made from, give --base REV")
+
 // SettingsCommand shows and edits the settings tree over any node.
 type SettingsCommand struct {
 	Node string `help:"Operators' address of any node." placeholder:"IP:PORT" required:"" env:"PISTACHIOTACK_NODE"`
@@ -73,13 +75,14 @@
 
 // Run prints the plan.
 func (c PlanCommand) Run(env Env, parent *SettingsCommand) error {
-	text, err := os.ReadFile(c.File)
+	document, err := readDocument(c.File)
 	if err != nil {
-		return errors.Wrap(err, "read settings tree")
+		return err
 	}
 	var plan tree.Plan
+	request := page{method: http.MethodPost, path: holder.PathPlan, body: document.text}
 
-	return parent.show(env, page{method: http.MethodPost, path: holder.PathPlan, body: string(text)}, &plan, func() { printPlan(env.Out, plan) })
+	return document.locate(parent.show(env, request, &plan, func() { printPlan(env.Out, plan) }))
 }
 
 // Proposing is what all commands that edit have in common.
@@ -99,6 +102,9 @@
 	if err := parent.show(env, request, &result, func() { printResult(env.Out, result) }); err != nil {
 		return err
 	}
+	if len(result.Problems) > 0 {
+		return result.Problems
+	}
 	if result.State != trial.StateAccepted {
 		return errors.Wrapf(ErrNotAccepted, "%s, %s", result.State, result.Reason)
 	}
@@ -109,20 +115,27 @@
 // ApplyCommand proposes a whole tree.
 type ApplyCommand struct {
 	Proposing
-	File string `arg:"" help:"Settings tree (TOML)." type:"existingfile"`
-	Base uint64 `help:"Revision that the file was made from." placeholder:"REV" required:""`
+	File string  `arg:"" help:"Settings tree (TOML)." type:"existingfile"`
+	Base *uint64 `help:"Revision that the file was made from; left out, the one that the file's first line names, as settings show prints it." placeholder:"REV"`
 }
 
 // Run proposes the file and waits until it is decided.
 func (c ApplyCommand) Run(env Env, parent *SettingsCommand) error {
-	text, err := os.ReadFile(c.File)
+	document, err := readDocument(c.File)
 	if err != nil {
-		return errors.Wrap(err, "read settings tree")
+		return err
+	}
+	base := document.base
+	switch {
+	case c.Base != nil:
+		base = *c.Base
+	case !document.based:
+		return ErrNoBase
 	}
 	query := c.query()
-	query.Set("base", strconv.FormatUint(c.Base, 10))
+	query.Set("base", strconv.FormatUint(base, 10))
 
-	return c.propose(env, parent, page{path: holder.PathApply, query: query, body: string(text)})
+	return document.locate(c.propose(env, parent, page{path: holder.PathApply, query: query, body: document.text}))
 }
 
 // SetCommand proposes one setting.
