--- a/internal/cmds/node.go
+++ b/internal/cmds/node.go
@@ -33,6 +33,7 @@
 	if err != nil || c.Check {
 		return err
 	}
+	staySmall()
 	log, err := newLogger(env.Out, settings.Log.Level)
 	if err != nil {
 		return err
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -24,7 +24,7 @@
 )
 
 const (
-	hardPause = 10 * time.Millisecond
+	hardPause = 50 * time.Millisecond
 	hardTries = 50
 	oncePause = 200 * time.Millisecond
 	// cutTries bounds how often an ordinary client asks again because its connection broke.
