--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -104,7 +104,8 @@
 	if refusal != nil {
 		r.refuse(refusal)
 	}
-	e.goodput.Note(policy.Priority, ctx.Response.StatusCode(), refusal)
+	class := inherited.Snapshot.Judged(policy, e.options.DataCentre, string(ctx.Request.Header.Method()), string(ctx.Request.URI().Path()))
+	e.goodput.Note(class, ctx.Response.StatusCode(), refusal)
 }
 
 // deadline returns the earlier of the inherited deadline and the one that the caller states.
--- a/internal/exec/handle.go
+++ b/internal/exec/handle.go
@@ -66,7 +66,8 @@
 	if refusal != nil {
 		x.refuse(refusal)
 	}
-	e.goodput.Note(x.policy.Priority, ctx.Response.StatusCode(), refusal)
+	class := snapshot.Judged(x.policy, e.options.DataCentre, string(header.Method()), string(ctx.Request.URI().Path()))
+	e.goodput.Note(class, ctx.Response.StatusCode(), refusal)
 }
 
 // run takes the call through admission to the backend server.
--- a/internal/holder/current.go
+++ b/internal/holder/current.go
@@ -98,7 +98,7 @@
 	if err != nil {
 		return c, err
 	}
-	c.trial = &overlay{edit: edit, snapshot: tree.NewSnapshot(base, parsed).WithTrial(edit), until: until}
+	c.trial = &overlay{edit: edit, snapshot: tree.NewSnapshot(base, parsed).WithTrial(edit, c.accepted), until: until}
 
 	return c, nil
 }
--- a/pkg/tree/parse_test.go
+++ b/pkg/tree/parse_test.go
@@ -93,6 +93,17 @@
 	}
 }
 
+func TestTrialJudgesByAcceptedClass(t *testing.T) {
+	accepted := tree.NewSnapshot(1, example(t, "rijksbureau"))
+	demoted, err := accepted.Tree().Set("service.keuring.kind.signOff.path", "/elsewhere")
+	require.NoError(t, err)
+	proposal := tree.NewSnapshot(1, demoted).WithTrial("edit", accepted)
+	policy := proposal.Policy("hal-a", "keuring", "POST", "/signoffs")
+	require.Equal(t, call.ClassNormal, policy.Priority)
+	require.Equal(t, call.ClassVital, proposal.Judged(policy, "hal-a", "POST", "/signoffs"))
+	require.Equal(t, call.ClassNormal, accepted.Judged(policy, "hal-a", "POST", "/signoffs"))
+}
+
 func TestProvenance(t *testing.T) {
 	parsed := example(t, "rijksbureau")
 	origins := map[string]string{}
--- a/pkg/tree/snap.go
+++ b/pkg/tree/snap.go
@@ -1,11 +1,16 @@
 package tree
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/pistachiotack/pistachiotack/pkg/call"
+)
 
 // Snapshot is one whole, immutable settings tree; a request keeps the one it began with.
 type Snapshot struct {
 	revision uint64
 	trial    string
+	accepted *Snapshot
 	tree     *Tree
 	root     Policy
 	scopes   map[scope]*compiled
@@ -48,10 +53,10 @@
 	return s
 }
 
-// WithTrial returns a copy that is marked as the proposal of that edit.
-func (s *Snapshot) WithTrial(edit string) *Snapshot {
+// WithTrial returns a copy that is marked as the proposal of that edit, judged by what is accepted.
+func (s *Snapshot) WithTrial(edit string, accepted *Snapshot) *Snapshot {
 	marked := *s
-	marked.trial = edit
+	marked.trial, marked.accepted = edit, accepted
 
 	return &marked
 }
@@ -61,6 +66,15 @@
 	return s.trial
 }
 
+// Judged returns the class under which a request counts in a trial, so that a proposal which demotes a kind does not hide it.
+func (s *Snapshot) Judged(policy Policy, place, method, path string) call.Class {
+	if s.accepted == nil {
+		return policy.Priority
+	}
+
+	return s.accepted.Policy(place, policy.Service, method, path).Priority
+}
+
 // Revision returns the number of the accepted revision that the snapshot came from.
 func (s *Snapshot) Revision() uint64 {
 	return s.revision
