Keep the fleet's membership as pure state

Each node owns its entry; changes spread by bounded retransmission, digests repair what was missed, and a few relays keep data centres in step. A node is suspected only while others in its data centre answer, so a cut between regions condemns nobody, and an observer that was paused forgives everybody first. Ended entries travel with their age, so that tombstones expire everywhere and none returns.

--- /dev/null
+++ b/pkg/member/message.go
@@ -0,0 +1,81 @@
+package member
+
+import "time"
+
+// Message is what two nodes tell each other in an exchange, in both directions.
+type Message struct {
+	// From is the sender's own entry.
+	From Update
+	// Updates are changes that the sender heard of lately.
+	Updates []Update
+}
+
+// Buckets is the number of parts into which a digest divides the entries.
+const Buckets = 64
+
+// Digest sums up all the entries that a node knows.
+type Digest struct {
+	From Update
+	Sums []uint64
+}
+
+// Difference answers a digest with the entries of the parts that differ.
+type Difference struct {
+	From    Update
+	Buckets []int
+	Updates []Update
+}
+
+// Reach asks a node to exchange with another one on the sender's behalf.
+type Reach struct {
+	Subject string
+	Address string
+}
+
+// Kind says what an action asks of its executor.
+type Kind string
+
+// Kinds of action, each one call to another node.
+const (
+	// KindExchange sends the message; the answer goes to Exchanged.
+	KindExchange Kind = "exchange"
+	// KindSync sends the digest; the answer goes to Synced.
+	KindSync Kind = "sync"
+	// KindReach sends the request to reach a third node; the answer goes to Reached.
+	KindReach Kind = "reach"
+)
+
+// Action is one call that the executor makes; if it fails, the action goes to Failed.
+type Action struct {
+	Kind    Kind
+	Sent    time.Time
+	To      string
+	Address string
+	Message Message
+	Digest  Digest
+	Reach   Reach
+}
+
+// Event is a change of what a node believes of another one.
+type Event struct {
+	ID     string
+	From   State
+	To     State
+	Reason Reason
+}
+
+// Reason says why an event came about.
+type Reason string
+
+// Reasons of events.
+const (
+	ReasonHeard       Reason = "heard"
+	ReasonAnnounced   Reason = "announced"
+	ReasonNoAnswer    Reason = "noAnswer"
+	ReasonSuspectLong Reason = "suspectTooLong"
+	ReasonCutOffLong  Reason = "dataCentreUnreachableTooLong"
+	ReasonRefuted     Reason = "refuted"
+	ReasonNameTaken   Reason = "nameUsedByAnotherProcess"
+	ReasonPaused      Reason = "observerWasPaused"
+	ReasonForgotten   Reason = "tombstoneExpired"
+)
--- /dev/null
+++ b/pkg/member/view.go
@@ -0,0 +1,45 @@
+package member
+
+import (
+	"slices"
+	"time"
+)
+
+// Entries returns all entries in the order of their IDs, those of data centres that this node cannot reach as suspect.
+func (f *Fleet) Entries(now time.Time) []Entry {
+	entries := make([]Entry, 0, len(f.ids))
+	for _, id := range f.ids {
+		entry := *f.records[id].entry
+		if id != f.self.ID && alive(&entry) && f.cutOff(entry.DataCentre, now) {
+			entry.State = StateSuspect
+		}
+		entries = append(entries, entry)
+	}
+
+	return entries
+}
+
+// CutOff is a data centre that a node cannot reach.
+type CutOff struct {
+	DataCentre string
+	Since      time.Time
+}
+
+// CutOffs returns the data centres in which nobody answers this node, in order of their names.
+func (f *Fleet) CutOffs(now time.Time) []CutOff {
+	var cuts []CutOff
+	for name, state := range f.reached {
+		if f.cutOff(name, now) {
+			cuts = append(cuts, CutOff{DataCentre: name, Since: state.failing})
+		}
+	}
+	slices.SortFunc(cuts, func(a, b CutOff) int {
+		if a.DataCentre < b.DataCentre {
+			return -1
+		}
+
+		return 1
+	})
+
+	return cuts
+}
