--- a/pkg/member/fleet.go
+++ b/pkg/member/fleet.go
@@ -115,6 +115,14 @@
 	return nil
 }
 
+// SetPeers announces the address at which the node takes forwarded calls.
+func (f *Fleet) SetPeers(now time.Time, address string) {
+	self := *f.self
+	self.Peers = address
+	self.Version++
+	f.announce(now, self)
+}
+
 // SetRevision sets the settings revision that the node's messages mention from now on.
 func (f *Fleet) SetRevision(now time.Time, revision uint64) {
 	changed := *f.self
--- a/pkg/member/pick.go
+++ b/pkg/member/pick.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -64,8 +65,21 @@
 // relaysPerPair is the number of nodes that keep two data centres in step.
 const relaysPerPair = 2
 
-// relays returns the nodes of one data centre that speak for it to another, the same in every node's eyes.
+// relays returns the nodes of one data centre that speak for it to another.
 func (f *Fleet) relays(of, to string) []*Entry {
+	return f.first(of, to, relaysPerPair)
+}
+
+// contactsPerDataCentre is the number of nodes that newcomers find in the table for each data centre.
+const contactsPerDataCentre = 8
+
+// IsContact reports whether newcomers should find this node in the table.
+func (f *Fleet) IsContact() bool {
+	return slices.Contains(f.first(f.self.DataCentre, "", contactsPerDataCentre), f.self)
+}
+
+// first returns up to count nodes of a data centre for a duty, the same ones in every node's eyes.
+func (f *Fleet) first(of, duty string, count int) []*Entry {
 	var candidates []*Entry
 	for _, id := range f.ids {
 		entry := f.records[id].entry
@@ -73,16 +87,10 @@
 			candidates = append(candidates, entry)
 		}
 	}
-	weight := func(e *Entry) uint64 { return xxhash.Sum64String(e.ID + "\x00" + to) }
-	slices.SortFunc(candidates, func(a, b *Entry) int {
-		if weight(a) < weight(b) {
-			return -1
-		}
-
-		return 1
-	})
+	weight := func(e *Entry) uint64 { return xxhash.Sum64String(e.ID + "\x00" + duty) }
+	slices.SortFunc(candidates, func(a, b *Entry) int { return cmp.Compare(weight(a), weight(b)) })
 
-	return candidates[:min(relaysPerPair, len(candidates))]
+	return candidates[:min(count, len(candidates))]
 }
 
 // dataCentres returns the names of all data centres with a living node, in order.
--- a/pkg/member/view.go
+++ b/pkg/member/view.go
@@ -43,3 +43,13 @@
 
 	return cuts
 }
+
+// Find returns what is known of a node.
+func (f *Fleet) Find(id string) (Entry, bool) {
+	known, found := f.records[id]
+	if !found {
+		return Entry{}, false
+	}
+
+	return *known.entry, true
+}
