Move membership between processes, and show the fleet on any node

Nodes learn of each other by gossip over net/rpc in place of a fixed list. First contacts come from a few rows per data centre in the table, from seeds, or from fixed targets, whose addresses stay those of the settings. SIGTERM announces draining before the executing node refuses, waits three rounds, and announces that the node left once nothing is in flight. The status page and command show members by data centre and state, the revision, and what is degraded and why.

--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -34,6 +34,7 @@
 	Demo     DemoCommand     `cmd:"" help:"Run one of the examples in this process, with a surge, and show what became of it."`
 	Explain  ExplainCommand  `cmd:"" help:"Show the decisions about an operation or a root request."`
 	Settings SettingsCommand `cmd:"" help:"Show and edit the settings tree over a node's operators' listener."`
+	Status   StatusCommand   `cmd:"" help:"Show the fleet as one node sees it: members, revision, and what is degraded and why."`
 	Platform PlatformCommand `cmd:"" help:"Run a small stand-in of the table service and object store, for tests and local use."`
 	Version  VersionCommand  `cmd:"" help:"Print the version."`
 }
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -141,15 +141,15 @@
 // Stop ends the loops; a node that has left first waits until that was passed on.
 func (g *Gossip) Stop(ctx context.Context) error {
 	if g.Self().State == member.StateLeft {
-		g.flush(ctx)
+		g.Flush(ctx)
 	}
 	g.cancel()
 
 	return nil
 }
 
-// flush waits for a few rounds of gossip if there is anybody to tell.
-func (g *Gossip) flush(ctx context.Context) {
+// Flush waits for a few rounds of gossip if there is anybody to tell.
+func (g *Gossip) Flush(ctx context.Context) {
 	if len(g.All()) < 2 {
 		return
 	}
@@ -193,13 +193,13 @@
 
 // SetRevision sets the settings revision that the node's messages mention.
 func (g *Gossip) SetRevision(revision uint64) {
-	_ = g.change(func(now time.Time) error {
-		if g.fleet.Self().Revision != revision {
-			g.fleet.SetRevision(now, revision)
-		}
-
-		return nil
-	})
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	if g.fleet.Self().Revision != revision {
+		g.fleet.SetRevision(now, revision)
+		g.renew(now)
+	}
 }
 
 // Introduce takes entries in as if another node had told of them.
--- a/internal/gossip/loop.go
+++ b/internal/gossip/loop.go
@@ -6,7 +6,9 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/pistachiotack/pistachiotack/internal/kernel"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
+	"github.com/pistachiotack/pistachiotack/pkg/tree"
 )
 
 const (
@@ -40,10 +42,25 @@
 			time.Sleep(soonest)
 		case <-timer.C:
 		}
+		g.followRevision()
 		g.execute(ctx, g.step(ctx, func(now time.Time) []member.Action { return g.fleet.Tick(now) }))
 	}
 }
 
+// followRevision lets messages mention the settings revision that is in force at this node.
+func (g *Gossip) followRevision() {
+	held, err := kernel.Find[snapshots](g.kernel, "holder")
+	if err != nil {
+		return
+	}
+	g.SetRevision(held.Snapshot().Revision())
+}
+
+// snapshots is what gossip asks of the holder.
+type snapshots interface {
+	Snapshot() *tree.Snapshot
+}
+
 // step applies one event to the fleet, renews the view and logs what was concluded.
 func (g *Gossip) step(ctx context.Context, event func(now time.Time) []member.Action) []member.Action {
 	g.mu.Lock()
--- a/internal/gossip/status.go
+++ b/internal/gossip/status.go
@@ -11,6 +11,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 
 	"github.com/pistachiotack/pistachiotack/internal/admin"
+	"github.com/pistachiotack/pistachiotack/internal/holder"
 	"github.com/pistachiotack/pistachiotack/internal/kernel"
 	"github.com/pistachiotack/pistachiotack/internal/peers"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
@@ -61,6 +62,7 @@
 // settings is what status shows of the holder.
 type settings interface {
 	Degraded() []string
+	Status() holder.Status
 }
 
 // traffic is what status shows of the control channel.
@@ -91,6 +93,9 @@
 			ID: entry.ID, DataCentre: entry.DataCentre, Service: entry.Service, State: entry.State, Revision: entry.Revision,
 		})
 	}
+	if held, err := kernel.Find[settings](g.kernel, "holder"); err == nil {
+		status.Trial = held.Status().Trial
+	}
 	if counted, err := kernel.Find[traffic](g.kernel, "control"); err == nil {
 		status.Control = counted.Traffic()
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -5,6 +5,7 @@
 	"log/slog"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/pistachiotack/pistachiotack/internal/fake"
 	"github.com/pistachiotack/pistachiotack/internal/load"
@@ -113,14 +114,16 @@
 		entries = append(entries, each.Entry())
 	}
 	for _, each := range m.Nodes {
-		each.SetMembers(entries)
+		each.Introduce(entries)
 	}
 }
 
 func (m *Mesh) stop() {
+	var stops errgroup.Group
 	for _, each := range m.Nodes {
-		_ = each.Stop()
+		stops.Go(each.Stop)
 	}
+	_ = stops.Wait()
 	for i := len(m.closers) - 1; i >= 0; i-- {
 		m.closers[i]()
 	}
--- /dev/null
+++ b/internal/node/fleet.go
@@ -0,0 +1,32 @@
+package node
+
+import (
+	"github.com/pistachiotack/pistachiotack/internal/gossip"
+	"github.com/pistachiotack/pistachiotack/pkg/member"
+)
+
+// newGossip returns the node's part in the fleet's membership.
+func (n *Node) newGossip() *gossip.Gossip {
+	fleet := n.settings.Fleet
+
+	return gossip.New(gossip.Options{
+		Self: member.Entry{
+			ID:          n.settings.Name,
+			Incarnation: n.incarnation,
+			DataCentre:  n.settings.DataCentre,
+			Service:     n.settings.Service,
+			Slots:       n.settings.Backend.Slots,
+			Connections: n.settings.Backend.Connections,
+		},
+		Timing: member.Options{
+			Gossip:  fleet.Gossip.Std(),
+			Probe:   fleet.Probe.Std(),
+			Suspect: fleet.Suspect.Std(),
+			Seed:    n.incarnation,
+		},
+		Seeds:    fleet.Seeds,
+		Targets:  fleet.Targets,
+		Contacts: fleet.Contacts.Std(),
+		Log:      n.log,
+	})
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 	"github.com/pistachiotack/pistachiotack/internal/claim"
 	"github.com/pistachiotack/pistachiotack/internal/entry"
 	"github.com/pistachiotack/pistachiotack/internal/exec"
+	"github.com/pistachiotack/pistachiotack/internal/gossip"
 	"github.com/pistachiotack/pistachiotack/internal/holder"
 	"github.com/pistachiotack/pistachiotack/internal/kernel"
 	"github.com/pistachiotack/pistachiotack/internal/meter"
@@ -36,7 +37,7 @@
 	admin       *admin.Admin
 	control     *peers.Service
 	store       *store.Store
-	members     *fixedMembers
+	gossip      *gossip.Gossip
 	holder      *holder.Holder
 	snapshot    *tree.Snapshot
 	started     *kernel.Started
@@ -64,7 +65,7 @@
 	if n.started, err = k.Start(ctx); err != nil {
 		return nil, err
 	}
-	if err = n.announce(); err != nil {
+	if err = errors.CombineErrors(n.gossip.Serve(n.exec.Address()), n.announce()); err != nil {
 		return nil, errors.CombineErrors(err, n.started.Stop(ctx))
 	}
 	n.stop = sync.OnceValue(func() error { return n.drainAndStop(ctx) })
@@ -92,7 +93,11 @@
 func (n *Node) drainAndStop(ctx context.Context) error {
 	drain, cancel := context.WithTimeout(ctx, tree.Default().DrainDeadline)
 	defer cancel()
-	err := errors.CombineErrors(n.exec.Drain(drain), n.entry.Drain(drain))
+	err := n.gossip.SetState(member.StateDraining)
+	n.exec.SetState(member.StateDraining)
+	n.gossip.Flush(drain)
+	err = errors.CombineErrors(err, errors.CombineErrors(n.exec.Drain(drain), n.entry.Drain(drain)))
+	err = errors.CombineErrors(err, n.gossip.SetState(member.StateLeft))
 	stop, cancelStop := context.WithTimeout(ctx, stopTimeout)
 	defer cancelStop()
 
@@ -114,9 +119,14 @@
 	}
 }
 
-// SetMembers names the fleet.
-func (n *Node) SetMembers(entries []member.Entry) {
-	n.members.set(entries)
+// Introduce names members, as another node would.
+func (n *Node) Introduce(entries []member.Entry) {
+	n.gossip.Introduce(entries)
+}
+
+// Members returns the nodes of a service as this node sees them.
+func (n *Node) Members(service string) []member.Entry {
+	return n.gossip.Members(service)
 }
 
 // Addresses returns what the node listens on.
@@ -136,7 +146,7 @@
 	decisions := trace.New(n.log, s.Name, s.Log.Buffer, s.Log.Decisions)
 	chooser, retrier := n.routing(decisions)
 	n.control = peers.New(peers.Options{Listen: s.Listen.Control, Log: n.log})
-	n.members = newFixedMembers(fixedEntries(s.Fleet.Targets))
+	n.gossip = n.newGossip()
 	n.exec = exec.New(exec.Options{
 		Listen:      s.Listen.Peers,
 		DataCentre:  s.DataCentre,
@@ -154,7 +164,7 @@
 		Retrier:     retrier,
 	})
 	n.holder = holder.New(holder.Options{Node: s.Name, Poll: s.Fleet.Poll.Std(), Initial: n.snapshot, Log: n.log})
-	n.admin = admin.New(s.Listen.Operators, holder.Name)
+	n.admin = admin.New(s.Listen.Operators, holder.Name, gossip.Name)
 
 	return []kernel.Service{
 		decisions,
@@ -162,26 +172,10 @@
 		n.store,
 		claim.NewRecorder(s.Name, n.incarnation),
 		n.control,
-		n.members,
+		n.gossip,
 		n.holder,
 		n.exec,
 		n.entry,
 		n.admin,
 	}
 }
-
-func fixedEntries(targets []config.Target) []member.Entry {
-	entries := make([]member.Entry, 0, len(targets))
-	for _, target := range targets {
-		entries = append(entries, member.Entry{
-			ID:         target.Name,
-			DataCentre: target.DataCentre,
-			Service:    target.Service,
-			State:      member.StateServing,
-			Peers:      target.Peers,
-			Control:    target.Control,
-		})
-	}
-
-	return entries
-}
--- a/internal/peers/conn.go
+++ b/internal/peers/conn.go
@@ -8,10 +8,10 @@
 
 // Traffic counts the bytes of all control connections since the start.
 type Traffic struct {
-	Sent     int64
-	Received int64
+	Sent     int64 `json:"sent"`
+	Received int64 `json:"received"`
 	// Dials is the number of connections that were opened to others.
-	Dials int64
+	Dials int64 `json:"dials"`
 }
 
 // counters is the live form of Traffic.
