Match answers of pinned attempts by the number they were sent with

Attempts of a once operation that has a home are numbered from a random base, but their answers were compared with the bare number, so that each was taken for torn and resolved anew: a refusal came out as silent and its key never moved on. TestKeyMovesOnFromAHomeThatRefuses failed 4 of 4 runs once members carried their incarnations, and passes 3 of 3 now.

--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -300,7 +300,7 @@
 		return Result{Outcome: fault.Outcome(), Reason: fault.Reason}
 	}
 	feedback, ok := wire.Feedback(&answer.Response.Header)
-	if !ok || !feedback.Outcome.Valid() || feedback.Op != r.op || feedback.Attempt != r.attempt {
+	if !ok || !feedback.Outcome.Valid() || feedback.Op != r.op || feedback.Attempt != r.base+r.attempt {
 		return Result{Outcome: call.OutcomeUnknown, Reason: call.ReasonTorn}
 	}
 	result := Result{Outcome: feedback.Outcome, Reason: feedback.Reason, HasFeedback: true, Feedback: feedback}
