--- a/internal/claim/record.go
+++ b/internal/claim/record.go
@@ -8,9 +8,11 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/pistachiotack/pistachiotack/internal/exec"
 	"github.com/pistachiotack/pistachiotack/internal/kernel"
+	"github.com/pistachiotack/pistachiotack/internal/meter"
 	"github.com/pistachiotack/pistachiotack/internal/store"
 	"github.com/pistachiotack/pistachiotack/pkg/call"
 )
@@ -44,6 +46,8 @@
 	count   int
 	dropped int
 
+	unrecorded tally.Gauge
+
 	stop  context.CancelFunc
 	ended chan error
 }
@@ -60,7 +64,11 @@
 
 // Start begins to write.
 func (r *Recorder) Start(_ context.Context, k *kernel.Kernel) (<-chan error, error) {
-	var err error
+	metrics, err := kernel.Find[*meter.Meter](k, meter.Name)
+	if err != nil {
+		return nil, err
+	}
+	r.unrecorded = metrics.Scope().SubScope(Name).Gauge("dropped")
 	if r.table, err = kernel.Find[Table](k, store.Name); err != nil {
 		return nil, err
 	}
@@ -141,6 +149,7 @@
 			r.putBack(row, news)
 		}
 	}
+	r.unrecorded.Update(float64(r.Dropped()))
 }
 
 // write adds to the row, which only this process writes.
--- a/internal/entry/move.go
+++ b/internal/entry/move.go
@@ -49,6 +49,7 @@
 		return false
 	}
 	r.decide(trace.Decision{Step: trace.StepRoute, Chosen: holder.Node, Outcome: call.OutcomeNotRun, Reason: call.ReasonFenced, Detail: "key moved from " + former.Node})
+	r.entry.metrics.Counter("keys_moved").Inc(1)
 	r.pin(home{ticket: holder, key: r.home.key, chosen: target})
 
 	return true
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -158,6 +158,7 @@
 		return refusal
 	}
 	r.release(target, call.ReasonNeedsTicket)
+	r.entry.metrics.Counter("tickets").Inc(1)
 	location := string(r.http.Request.Header.RequestURI())
 	separator := "?"
 	if strings.Contains(location, separator) {
--- a/internal/entry/probe.go
+++ b/internal/entry/probe.go
@@ -18,6 +18,9 @@
 // resolveTimeout bounds one question on the control connection.
 const resolveTimeout = 500 * time.Millisecond
 
+// noWord stands for the state of an attempt whose node cannot be asked.
+const noWord = "noWord"
+
 // probe asks the executing node, on a connection apart, what became of an attempt that brings no answer.
 type probe struct {
 	request *request
@@ -114,9 +117,10 @@
 	err := p.request.entry.control.Call(c, p.target.Control, exec.MethodResolve, args, &verdict)
 	decision := trace.Decision{Step: trace.StepResolve, Chosen: p.target.ID, Outcome: verdict.Outcome, Reason: verdict.Reason, Detail: verdict.State.String()}
 	if err != nil {
-		decision.Outcome, decision.Reason, decision.Detail = call.OutcomeUnknown, call.ReasonConnect, err.Error()
+		decision.Outcome, decision.Reason, decision.Detail = call.OutcomeUnknown, call.ReasonConnect, noWord
 	}
 	p.request.decide(decision)
+	p.request.entry.metrics.Tagged(map[string]string{"state": decision.Detail}).Counter("resolved").Inc(1)
 
 	return verdict, err
 }
--- a/internal/exec/guard.go
+++ b/internal/exec/guard.go
@@ -129,5 +129,6 @@
 	}
 	out.SetBody(answer.Body)
 	x.feedback(call.Feedback{Outcome: call.OutcomeRan, Reason: call.ReasonDuplicate, Digest: digest(answer.Body)})
+	x.exec.metrics.Counter("remembered").Inc(1)
 	x.decide(trace.StepResolve, call.OutcomeRan, call.ReasonDuplicate, "answer of an earlier attempt")
 }
