Wait for a refusal that is on its way before a connection counts as lost

Change: the node's verdict tells an attempt settled before the question from one fenced by it; the first gets one more interval.

--- a/internal/entry/probe.go
+++ b/internal/entry/probe.go
@@ -26,8 +26,8 @@
 	request *request
 	target  member.Entry
 	attempt fence.Attempt
-	// finished says that the node had finished the attempt at the last question.
-	finished bool
+	// settled says that the node had finished or refused the attempt before the last question.
+	settled bool
 	// verdict is the last word of the node, nil while there is none.
 	verdict *exec.Verdict
 }
@@ -50,9 +50,9 @@
 	case p.attempt.Incarnation == 0 && verdict.Reason == call.ReasonWrongIncarnation:
 		// nothing is known of the target yet
 		return nil
-	case verdict.State == fence.StateDone && !p.finished:
-		// the answer may be on its way
-		p.finished = true
+	case verdict.Reason == call.ReasonDuplicate && !p.settled:
+		// it was settled before the question, so the answer may be on its way
+		p.settled = true
 
 		return nil
 	}
--- a/pkg/fence/fence.go
+++ b/pkg/fence/fence.go
@@ -141,7 +141,12 @@
 		return Verdict[A]{}, false
 	}
 
-	return verdictOf(o.state, call.ReasonDuplicate, o.answer), true
+	reason := call.ReasonDuplicate
+	if o.retired {
+		reason = call.ReasonFenced
+	}
+
+	return verdictOf(o.state, reason, o.answer), true
 }
 
 // full makes room by forgetting early, and reports whether there is none.
--- a/pkg/fence/fence_test.go
+++ b/pkg/fence/fence_test.go
@@ -196,7 +196,8 @@
 	now := time.Unix(1000, 0)
 	f := fence.New[string](7, limits)
 	a := attempt(1, false, now)
-	require.Equal(t, call.OutcomeNotRun, f.Resolve(now, a).Outcome)
+	require.Equal(t, call.ReasonFenced, f.Resolve(now, a).Reason)
+	require.Equal(t, call.ReasonDuplicate, f.Resolve(now, a).Reason)
 
 	late := f.Arrive(now, a)
 	require.False(t, late.Admitted())
--- a/pkg/fence/verdict.go
+++ b/pkg/fence/verdict.go
@@ -57,7 +57,7 @@
 	v := refused[A](state, call.OutcomeUnknown, reason)
 	switch {
 	case state == StateFenced:
-		v.Outcome, v.Reason = call.OutcomeNotRun, call.ReasonFenced
+		v.Outcome = call.OutcomeNotRun
 	case state == StateDone && answer != nil:
 		v.Outcome, v.Answer = call.OutcomeRan, answer
 	}
