--- a/pkg/config/load_test.go
+++ b/pkg/config/load_test.go
@@ -81,3 +81,13 @@
 		require.Equal(t, node, node.WithDefaults())
 	})
 }
+
+func TestShippedExamplesAreWellFormed(t *testing.T) {
+	files, err := filepath.Glob("../../examples/*/node.toml")
+	require.NoError(t, err)
+	require.Len(t, files, 2)
+	for _, file := range files {
+		_, err := config.Load(file)
+		require.NoError(t, err)
+	}
+}
