Follow the backend server's life beside the node

Cause: a node told the fleet that it serves as soon as it ran, whether its backend server was there or not, and nobody heeded a backend server's own word that it is leaving; the drain deadline of the tree was ignored for its default. Change: internal/life, a pure watch with a service around it: starting until the server is reachable (and its health page good), draining on its word on an answer or page, serving again when another one took its place.

--- a/internal/exec/exec.go
+++ b/internal/exec/exec.go
@@ -76,6 +76,7 @@
 	server   *listen.Server
 
 	state   atomic.Value
+	leaving atomic.Pointer[func()]
 	active  atomic.Int64
 	mu      sync.RWMutex
 	running map[call.ID]*scope.Scope
@@ -151,6 +152,11 @@
 	e.state.Store(state)
 }
 
+// SetLeaving names whom to tell when the backend server says on an answer that it is leaving.
+func (e *Exec) SetLeaving(leaving func()) {
+	e.leaving.Store(&leaving)
+}
+
 // State returns what peers are told.
 func (e *Exec) State() member.State {
 	state, _ := e.state.Load().(member.State)
--- a/internal/exec/guard.go
+++ b/internal/exec/guard.go
@@ -76,20 +76,29 @@
 	return refusal
 }
 
-// arrive asks the fence; a draining node only gives what it already knows.
+// arrive asks the fence; a node that drains or has no backend server yet only gives what it already knows.
 func (x *execution) arrive(cancel context.CancelFunc) Verdict {
 	book := x.exec.book
-	if x.exec.State() != member.StateDraining {
+	if state := x.exec.State(); state != member.StateDraining && state != member.StateStarting {
 		return book.arrive(time.Now(), x.attempt, x.policy.AnswerMemory, cancel)
 	}
 	verdict := book.resolve(time.Now(), x.attempt)
 	if verdict.Outcome == call.OutcomeNotRun {
-		verdict.Reason = call.ReasonDraining
+		verdict.Reason = closedReason(x.exec.State())
 	}
 
 	return verdict
 }
 
+// closedReason says why a node takes no calls.
+func closedReason(state member.State) call.Reason {
+	if state == member.StateStarting {
+		return call.ReasonWarming
+	}
+
+	return call.ReasonDraining
+}
+
 // settle tells the fence how the attempt ended.
 func (x *execution) settle(refusal *call.Refusal) *call.Refusal {
 	if refusal != nil && refusal.Outcome == call.OutcomeNotRun {
--- a/internal/exec/handle.go
+++ b/internal/exec/handle.go
@@ -130,6 +130,7 @@
 		Stream: x.policy.Stream,
 	})
 	x.unspent = x.exec.leave(x.envelope.Op, running)
+	x.heed(answer)
 	if err == nil && answer.Stream != nil {
 		return x.passStream(answer)
 	}
@@ -142,6 +143,13 @@
 	return x.passBuffered(answer, running)
 }
 
+// heed passes on that the backend server is leaving.
+func (x *execution) heed(answer *relay.Answer) {
+	if leaving := x.exec.leaving.Load(); leaving != nil && wire.Draining(&answer.Response.Header) {
+		(*leaving)()
+	}
+}
+
 // refusalOf turns a failed attempt on the backend server into what the entry is told.
 func refusalOf(err error) *call.Refusal {
 	var fault *relay.Fault
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -177,12 +177,12 @@
 	return g.view.Load().living
 }
 
-// Serve announces that the node takes forwarded calls at the address.
-func (g *Gossip) Serve(peers string) error {
-	return g.change(func(now time.Time) error {
-		g.fleet.SetPeers(now, peers)
+// SetPeers announces the address for forwarded calls.
+func (g *Gossip) SetPeers(address string) {
+	_ = g.change(func(now time.Time) error {
+		g.fleet.SetPeers(now, address)
 
-		return g.fleet.SetState(now, member.StateServing)
+		return nil
 	})
 }
 
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -57,7 +57,8 @@
 	}
 	started, err := k.Start(context.Background())
 	require.NoError(t, err)
-	require.NoError(t, fleet.Serve("peers-of-"+options.Self.ID))
+	fleet.SetPeers("peers-of-" + options.Self.ID)
+	require.NoError(t, fleet.SetState(member.StateServing))
 	i := &instance{Gossip: fleet, address: control.Address()}
 	i.stop = sync.OnceFunc(func() { _ = started.Stop(context.Background()) })
 	t.Cleanup(i.stop)
--- /dev/null
+++ b/internal/life/watch.go
@@ -0,0 +1,64 @@
+package life
+
+import (
+	"github.com/pistachiotack/pistachiotack/pkg/member"
+)
+
+// Sight is what one look at the backend server showed.
+type Sight struct {
+	// Connects says that it accepted a connection, Healthy that its health page, if there is one, was good.
+	Connects bool
+	Healthy  bool
+	// Draining says that its health page, or an answer since the last look, told that it is leaving.
+	Draining bool
+}
+
+// Watch decides from what is seen of the backend server whether its node takes work; its owner serialises calls.
+type Watch struct {
+	state member.State
+	// gone says that the server that was leaving has ended, so that the next one may take work.
+	gone bool
+	// page says that the server has a health page.
+	page bool
+}
+
+// NewWatch returns a watch on a server that has not been seen yet.
+func NewWatch(page bool) *Watch {
+	return &Watch{state: member.StateStarting, page: page}
+}
+
+// State returns the state that the node should announce.
+func (w *Watch) State() member.State {
+	return w.state
+}
+
+// See takes a look into account and reports whether the state changed.
+//
+// A server that serves is not taken back for a bad health page: calls are the better evidence, and pages lag and mislead.
+func (w *Watch) See(sight Sight) bool {
+	before := w.state
+	switch {
+	case sight.Draining:
+		w.state = member.StateDraining
+		w.gone = false
+	case w.state == member.StateStarting && sight.Connects && sight.Healthy:
+		w.state = member.StateServing
+	case w.state == member.StateDraining:
+		w.leaving(sight)
+	}
+
+	return w.state != before
+}
+
+// leaving lets the next server take work: by its own page, or once the one that was leaving has gone.
+func (w *Watch) leaving(sight Sight) {
+	if !sight.Connects {
+		w.gone = true
+
+		return
+	}
+	if sight.Healthy && (w.page || w.gone) {
+		w.state = member.StateServing
+		w.gone = false
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"github.com/pistachiotack/pistachiotack/internal/gossip"
 	"github.com/pistachiotack/pistachiotack/internal/holder"
 	"github.com/pistachiotack/pistachiotack/internal/kernel"
+	"github.com/pistachiotack/pistachiotack/internal/life"
 	"github.com/pistachiotack/pistachiotack/internal/meter"
 	"github.com/pistachiotack/pistachiotack/internal/peers"
 	"github.com/pistachiotack/pistachiotack/internal/store"
@@ -39,6 +40,7 @@
 	store       *store.Store
 	gossip      *gossip.Gossip
 	holder      *holder.Holder
+	life        *life.Life
 	snapshot    *tree.Snapshot
 	started     *kernel.Started
 	stop        func() error
@@ -65,7 +67,7 @@
 	if n.started, err = k.Start(ctx); err != nil {
 		return nil, err
 	}
-	if err = errors.CombineErrors(n.gossip.Serve(n.exec.Address()), n.announce()); err != nil {
+	if err = n.announce(); err != nil {
 		return nil, errors.CombineErrors(err, n.started.Stop(ctx))
 	}
 	n.stop = sync.OnceValue(func() error { return n.drainAndStop(ctx) })
@@ -91,8 +93,12 @@
 }
 
 func (n *Node) drainAndStop(ctx context.Context) error {
-	drain, cancel := context.WithTimeout(ctx, tree.Default().DrainDeadline)
+	policy := n.holder.Snapshot().Policy(n.settings.DataCentre, n.settings.Service, "", "")
+	drain, cancel := context.WithTimeout(ctx, policy.DrainDeadline)
 	defer cancel()
+	if n.life != nil {
+		_ = n.life.Stop(ctx)
+	}
 	err := n.gossip.SetState(member.StateDraining)
 	n.exec.SetState(member.StateDraining)
 	n.gossip.Flush(drain)
@@ -165,8 +171,7 @@
 	})
 	n.holder = holder.New(holder.Options{Node: s.Name, Poll: s.Fleet.Poll.Std(), Initial: n.snapshot, Log: n.log})
 	n.admin = admin.New(s.Listen.Operators, holder.Name, gossip.Name)
-
-	return []kernel.Service{
+	services := []kernel.Service{
 		decisions,
 		meter.New(map[string]string{"node": s.Name, "data_centre": s.DataCentre, "target_service": s.Service}),
 		n.store,
@@ -178,4 +183,10 @@
 		n.entry,
 		n.admin,
 	}
+	if s.Backend.Address != "" {
+		n.life = life.New(life.Options{Address: s.Backend.Address, Health: s.Backend.Health, Log: n.log})
+		services = append(services, n.life)
+	}
+
+	return services
 }
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -78,6 +78,11 @@
 	return load, true
 }
 
+// Draining reports whether a backend server says that it is leaving.
+func Draining(header *protocol.ResponseHeader) bool {
+	return string(header.Peek(HeaderDraining)) == "true"
+}
+
 // Timeout reads the remaining time that a caller states, zero if it states none that can be read.
 func Timeout(header *protocol.RequestHeader) time.Duration {
 	timeout, err := time.ParseDuration(string(header.Peek(HeaderTimeout)))
--- a/pkg/retry/decide.go
+++ b/pkg/retry/decide.go
@@ -135,7 +135,7 @@
 		return false
 	}
 	switch f.Reason {
-	case call.ReasonDraining, call.ReasonWrongIncarnation, call.ReasonConnect:
+	case call.ReasonDraining, call.ReasonWarming, call.ReasonWrongIncarnation, call.ReasonConnect:
 		return true
 	}
 
