--- a/internal/proof/settings_test.go
+++ b/internal/proof/settings_test.go
@@ -74,6 +74,11 @@
 		}
 		ended <- err
 	}()
+	require.Eventually(t, func() bool {
+		out, code := operator(t.Context(), fleet.Members[0], "plan", bad)
+
+		return code == cmds.ExitOK && strings.Contains(out, "2 changes touch 5 of 18 targets.")
+	}, 30*time.Second, 50*time.Millisecond)
 	out, code := operator(t.Context(), fleet.Members[0], "apply", bad, "--base", "0", "--author", "anna")
 	require.Equal(t, cmds.ExitFailure, code, out)
 	require.Contains(t, out, "refused (guardBroken)")
