Turn callers away before a planned stop ends

Change: at the start of a drain the entry closes its port and asks callers on open connections to close them after their next answer, and the peers' listener asks the same; both end once no call is open and none ended within 300 ms, three seconds at the latest. The load counts each try whose connection broke.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -33,6 +33,12 @@
 // drainInterval is how often a drain looks for calls that are still open.
 const drainInterval = 10 * time.Millisecond
 
+// A caller that keeps its connection and asks again within the grace is answered, until the limit.
+const (
+	leaveGrace = 300 * time.Millisecond
+	leaveLimit = 3 * time.Second
+)
+
 // ErrDrainDeadline is returned by Drain when calls are still open at its deadline.
 var ErrDrainDeadline = errors.New("calls still open at the drain deadline")
 
@@ -139,11 +145,19 @@
 	return e.backend.Address()
 }
 
-// Drain returns when no call is open, ErrDrainDeadline if the context ends before.
+// Leave turns callers away: no new connections, and the open ones are closed after their next answer.
+func (e *Entry) Leave() error {
+	e.callers.Leave()
+
+	return e.callers.Refuse()
+}
+
+// Drain returns when no call is open and callers have left, ErrDrainDeadline if the context ends before.
 func (e *Entry) Drain(ctx context.Context) error {
 	ticker := time.NewTicker(drainInterval)
 	defer ticker.Stop()
-	for e.active.Load() > 0 {
+	began := time.Now()
+	for e.active.Load() > 0 || (!e.callers.Quiet(leaveGrace) && time.Since(began) < leaveLimit) {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
--- a/internal/exec/exec.go
+++ b/internal/exec/exec.go
@@ -32,6 +32,12 @@
 // drainInterval is how often a drain looks for calls that still run.
 const drainInterval = 10 * time.Millisecond
 
+// A peer that has not heard of the drain yet is refused on its open connection, until the limit.
+const (
+	leaveGrace = 300 * time.Millisecond
+	leaveLimit = 3 * time.Second
+)
+
 // ErrDrainDeadline is returned by Drain when calls still run at its deadline.
 var ErrDrainDeadline = errors.New("calls still run at the drain deadline")
 
@@ -176,9 +182,11 @@
 // Drain refuses new calls and returns when none runs, ErrDrainDeadline if the context ends before.
 func (e *Exec) Drain(ctx context.Context) error {
 	e.SetState(member.StateDraining)
+	e.server.Leave()
+	began := time.Now()
 	ticker := time.NewTicker(drainInterval)
 	defer ticker.Stop()
-	for e.active.Load() > 0 {
+	for e.active.Load() > 0 || (!e.server.Quiet(leaveGrace) && time.Since(began) < leaveLimit) {
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -28,8 +29,12 @@
 // Server is one listener with one handler for all methods and paths.
 type Server struct {
 	hertz    *server.Hertz
-	listener net.Listener
+	listener *gate
 	done     chan error
+	leaving  atomic.Bool
+	open     atomic.Int64
+	// lastEnd is when the latest request ended, in nanoseconds of Unix time.
+	lastEnd atomic.Int64
 }
 
 // Options bounds what the listener accepts.
@@ -46,8 +51,9 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", address)
 	}
-	hertz := server.New(
-		server.WithListener(listener),
+	s := &Server{listener: newGate(listener), done: make(chan error, 1)}
+	s.hertz = server.New(
+		server.WithListener(s.listener),
 		server.WithTransport(standard.NewTransporter),
 		server.WithSenseClientDisconnection(true),
 		server.WithMaxRequestBodySize(options.MaxBody),
@@ -59,13 +65,13 @@
 		server.WithDisablePrintRoute(true),
 		server.WithExitWaitTime(closeTimeout),
 	)
+	s.hertz.Use(s.track)
 	if options.Routes != nil {
-		options.Routes(hertz)
+		options.Routes(s.hertz)
 	}
 	if handler != nil {
-		hertz.Any(anyPath, handler)
+		s.hertz.Any(anyPath, handler)
 	}
-	s := &Server{hertz: hertz, listener: listener, done: make(chan error, 1)}
 	go s.serve()
 
 	return s, nil
@@ -81,6 +87,32 @@
 	return s.done
 }
 
+// Leave asks the other ends to close their connections after their next answer.
+func (s *Server) Leave() {
+	s.leaving.Store(true)
+}
+
+// Refuse takes no more connections; those that are open go on.
+func (s *Server) Refuse() error {
+	return errors.Wrapf(s.listener.Refuse(), "refuse connections at %s", s.Address())
+}
+
+// Quiet reports whether no request is open and none ended within the grace.
+func (s *Server) Quiet(grace time.Duration) bool {
+	return s.open.Load() == 0 && time.Since(time.Unix(0, s.lastEnd.Load())) >= grace
+}
+
+// track counts open requests.
+func (s *Server) track(c context.Context, ctx *app.RequestContext) {
+	s.open.Add(1)
+	defer s.open.Add(-1)
+	ctx.Next(c)
+	s.lastEnd.Store(time.Now().UnixNano())
+	if s.leaving.Load() {
+		ctx.Response.SetConnectionClose()
+	}
+}
+
 // Close stops listening; requests must have been drained before.
 func (s *Server) Close(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
--- a/internal/load/book.go
+++ b/internal/load/book.go
@@ -24,6 +24,7 @@
 	offered int
 	good    int
 	tries   int
+	cuts    int
 	byEnd   map[verdict]int
 	latency *hdrhistogram.Histogram
 }
@@ -100,6 +101,9 @@
 		b.good(in, from, took)
 	}
 	for i, each := range tries {
+		if each.verdict == verdictCut {
+			in.cuts++
+		}
 		if i+1 == len(tries) || tries[i+1].id != each.id {
 			b.ends = append(b.ends, ended{id: each.id, kind: b.plan.Example.Kinds[from.kind].Name, reason: each.reason, outcome: each.outcome, good: each.verdict == verdictGood})
 		}
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -30,7 +30,7 @@
 	Good    int     `json:"good"`
 	Share   float64 `json:"share"`
 	Tries   int     `json:"tries"`
-	// Refused, Failed, Timeout and Cut say how the requests without a good answer ended.
+	// Refused, Failed and Timeout say how the requests without a good answer ended, Cut counts tries whose connection broke.
 	Refused int           `json:"refused"`
 	Failed  int           `json:"failed"`
 	Timeout int           `json:"timeout"`
@@ -152,8 +152,8 @@
 		Phase: phase, Kind: kind.Name, Service: kind.Service, Class: kind.Class.String(),
 		Offered: in.offered, Good: in.good, Share: share(in.good, in.offered), Tries: in.tries,
 		Refused: in.byEnd[verdictRefused],
-		Failed:  in.byEnd[verdictFailed] + in.byEnd[verdictConnect],
-		Cut:     in.byEnd[verdictCut],
+		Failed:  in.byEnd[verdictFailed] + in.byEnd[verdictConnect] + in.byEnd[verdictCut],
+		Cut:     in.cuts,
 		Timeout: in.byEnd[verdictTimeout],
 		P50:     time.Duration(in.latency.ValueAtQuantile(50)) * time.Microsecond,
 		P99:     time.Duration(in.latency.ValueAtQuantile(99)) * time.Microsecond,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -102,6 +102,7 @@
 	err := n.gossip.SetState(member.StateDraining)
 	n.exec.SetState(member.StateDraining)
 	n.gossip.Flush(drain)
+	err = errors.CombineErrors(err, n.entry.Leave())
 	err = errors.CombineErrors(err, errors.CombineErrors(n.exec.Drain(drain), n.entry.Drain(drain)))
 	err = errors.CombineErrors(err, n.gossip.SetState(member.StateLeft))
 	stop, cancelStop := context.WithTimeout(ctx, stopTimeout)
--- /dev/null
+++ b/internal/proof/stop_test.go
@@ -0,0 +1,32 @@
+package proof_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiotack/pistachiotack/internal/proof"
+)
+
+// TestGracefulStopUnderLoadCutsNothing stops each node of one service by SIGTERM while callers use all nodes.
+func TestGracefulStopUnderLoadCutsNothing(t *testing.T) {
+	t.Parallel()
+	fleet := start(t, proof.Options{Example: small(t), Tree: treeOf(t, "rijksbureau")})
+	scene := proof.Scene{Name: "stop", Usual: 0.3, Begin: func(ctx context.Context, f *proof.Fleet) error {
+		for _, member := range f.Of("keuring") {
+			if err := f.RestartGracefully(ctx, member.Node); err != nil {
+				return err
+			}
+		}
+
+		return nil
+	}}
+	report, err := fleet.Play(t.Context(), scene, proof.Timing{Before: time.Second, During: 3 * time.Second, After: 3 * time.Second}, nil)
+	require.NoError(t, err)
+	requireKept(t, fleet, report)
+	for _, kind := range report.Kinds {
+		require.Zero(t, kind.Cut, "%s, phase %s", kind.Kind, kind.Phase)
+	}
+}
