Open thresholds by free slots, and blame targets that answer nothing

A backend server that hangs cost each entry its calls until their deadline without blame. issue (two hops above logboek) ran in vain, since only the first hop above learnt the threshold. Change: a window with free slots opens the threshold, one with refusals closes it, any other leaves it; attempts given up after the progress time count against the target; the threshold of a kind travels more than one hop; the reserve for vital calls follows their own time left.

--- a/internal/entry/adapt.go
+++ b/internal/entry/adapt.go
@@ -135,6 +135,9 @@
 
 // verdictOf blames the target for its own faults, not for those of services that it calls.
 func verdictOf(result Result) route.Verdict {
+	if result.Silent {
+		return route.VerdictFault
+	}
 	if result.Outcome != call.OutcomeRan || result.Status < statusFault {
 		return route.Judge(result.Outcome, result.Reason)
 	}
--- a/internal/entry/choose.go
+++ b/internal/entry/choose.go
@@ -38,6 +38,8 @@
 	Outcome call.Outcome
 	Reason  call.Reason
 	Took    time.Duration
+	// Silent says that the attempt was given up after more than the progress time, while its executing node answered.
+	Silent bool
 	// Status is the HTTP status of an answer, zero if none came.
 	Status      int
 	HasFeedback bool
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -105,7 +105,8 @@
 		return false
 	}
 	feedback, _ := wire.Feedback(&answer.Response.Header)
-	failure := call.NewRefusal(call.OutcomeRan, call.ReasonBackendFault)
+	failure := call.NewRefusal(call.OutcomeRan, call.ReasonBackendFault).
+		WithThreshold(feedback.KindThreshold).WithRetryAfter(feedback.RetryAfter)
 	failure.Final = feedback.Final
 	if r.pause(c, failure) != nil {
 		// this hop has decided, so the hops above must not try again
@@ -119,6 +120,11 @@
 	return true
 }
 
+// givenUp reports whether the attempt ended for want of time and not by a word of the target.
+func givenUp(reason call.Reason) bool {
+	return reason == call.ReasonDeadline || reason == call.ReasonCancelled
+}
+
 // fetch makes one attempt and returns its answer.
 func (r *request) fetch(c context.Context) (*relay.Answer, *call.Refusal) {
 	answer, _, failure := r.fetchFrom(c)
@@ -142,6 +148,7 @@
 	answer := &relay.Answer{}
 	result := r.send(c, choice.Target, paid.Grant, answer).of(r.policy, choice.Target)
 	result.Took = time.Since(now)
+	result.Silent = result.Outcome == call.OutcomeUnknown && result.Took > r.policy.Progress && givenUp(result.Reason)
 	r.book(paid, result, answer)
 	r.done(result)
 	r.decide(trace.Decision{Step: trace.StepAttempt, Chosen: choice.Target.ID, Outcome: result.Outcome, Reason: result.Reason})
--- a/pkg/admit/gate.go
+++ b/pkg/admit/gate.go
@@ -84,8 +84,12 @@
 
 		return []Decision{g.refusal(&item, call.ReasonBufferFull, 0)}
 	}
-	g.enter(&item)
+	g.enter(&item, item.Deadline.Sub(now))
 	if len(g.queue.items) == 0 && g.mayRun(&item) {
+		if !item.Stream {
+			g.threshold.instant++
+		}
+
 		return []Decision{g.start(now, &item, 0)}
 	}
 
@@ -145,10 +149,10 @@
 	return nil
 }
 
-func (g *Gate) enter(item *Item) {
+func (g *Gate) enter(item *Item, left time.Duration) {
 	g.crowd.add(item.key())
 	g.bytes += item.Bytes
-	g.reserve.enter(item)
+	g.reserve.enter(item, left)
 	if item.Stream {
 		return
 	}
@@ -211,7 +215,7 @@
 
 // mayRun reports whether there is a slot for the item.
 func (g *Gate) mayRun(item *Item) bool {
-	if len(g.running) >= g.limit-g.reserve.kept(item, g.limit, g.settings.QueueWait) {
+	if len(g.running) >= g.limit-g.reserve.kept(item, g.limit) {
 		return false
 	}
 	if !item.Stream {
--- a/pkg/admit/thresh.go
+++ b/pkg/admit/thresh.go
@@ -14,6 +14,9 @@
 	headroom = 1.1
 	// pressureShare is the share of arrivals refused for load above which the node is overloaded.
 	pressureShare = 0.02
+	// instantShare is the share of arrivals that find a free slot above which the node has room.
+	instantShare = 0.25
+	firstStep    = 2
 )
 
 // threshold follows which ranks the node can carry, from what arrives, what ends and what is refused.
@@ -24,6 +27,7 @@
 	offered  int
 	finished int
 	pressed  int
+	instant  int
 	// band is the lowest that is admitted, step how far it falls in the next calm window.
 	band int
 	step int
@@ -39,7 +43,7 @@
 	return min(call.Rank(t.band)<<bandShift, call.ClassVital.Floor())
 }
 
-// roll closes the window when it is time.
+// roll closes the window when it is time: it opens while there are free slots, closes under pressure, and else stays.
 func (t *threshold) roll(now time.Time) {
 	if t.start.IsZero() {
 		t.start = now
@@ -49,16 +53,19 @@
 		return
 	}
 	t.ended = t.ended*memory + float64(t.finished)
-	if float64(t.pressed) > pressureShare*float64(t.offered) {
-		t.raise()
-	} else {
+	room := float64(t.instant) >= instantShare*float64(t.offered)
+	pressed := float64(t.pressed) > pressureShare*float64(t.offered)
+	switch {
+	case room:
 		t.lower(span)
+	case pressed:
+		t.raise()
 	}
 	for i := range t.arrived {
 		t.arrived[i] *= memory
 	}
 	t.start = now
-	t.offered, t.finished, t.pressed = 0, 0, 0
+	t.offered, t.finished, t.pressed, t.instant = 0, 0, 0, 0
 }
 
 // raise cuts the arrivals down to little more than what ends.
@@ -73,13 +80,13 @@
 		band--
 	}
 	t.band = max(t.band, band)
-	t.step = 1
+	t.step = firstStep
 }
 
-// lower opens in growing steps while there is no pressure.
+// lower opens in growing steps while there is room.
 func (t *threshold) lower(span time.Duration) {
 	for ; span >= thresholdWindow && t.band > 0; span -= thresholdWindow {
-		t.band = max(t.band-max(t.step, 1), 0)
-		t.step = max(t.step, 1) * 2
+		t.band = max(t.band-max(t.step, firstStep), 0)
+		t.step = max(t.step, firstStep) * 2
 	}
 }
