--- a/pkg/config/check.go
+++ b/pkg/config/check.go
@@ -6,6 +6,8 @@
 	"reflect"
 	"strings"
 	"time"
+
+	"github.com/pistachiotack/pistachiotack/pkg/near"
 )
 
 // Rails of the settings file.
@@ -106,12 +108,7 @@
 // suggestion names the known key that is nearest to an unknown one.
 func suggestion(key string) string {
 	name := key[strings.LastIndexByte(key, '.')+1:]
-	best, distance := "", len(name)/2+1
-	for _, known := range keysOf(reflect.TypeFor[Node]()) {
-		if d := editDistance(strings.ToLower(name), strings.ToLower(known)); d < distance {
-			best, distance = known, d
-		}
-	}
+	best := near.Nearest(name, keysOf(reflect.TypeFor[Node]()))
 	if best == "" {
 		return ""
 	}
@@ -136,25 +133,3 @@
 
 	return keys
 }
-
-// editDistance counts the single-letter edits between two short words.
-func editDistance(a, b string) int {
-	row := make([]int, len(b)+1)
-	for j := range row {
-		row[j] = j
-	}
-	for i := range len(a) {
-		diagonal := row[0]
-		row[0] = i + 1
-		for j := range len(b) {
-			cost := diagonal
-			if a[i] != b[j] {
-				cost++
-			}
-			diagonal = row[j+1]
-			row[j+1] = min(cost, row[j+1]+1, row[j]+1)
-		}
-	}
-
-	return row[len(b)]
-}
--- /dev/null
+++ b/pkg/near/doc.go
@@ -0,0 +1,2 @@
+// Package near names the known word that a mistyped one was meant to be.
+package near
--- /dev/null
+++ b/pkg/near/near_test.go
@@ -0,0 +1,26 @@
+package near_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiotack/pistachiotack/pkg/near"
+)
+
+func TestNearest(t *testing.T) {
+	known := []string{"deadline", "dataCentre", "slots"}
+	tests := map[string]string{
+		"deadlin":    "deadline",
+		"dataCenter": "dataCentre",
+		"SLOT":       "slots",
+		"sltos":      "slots",
+		"weather":    "",
+		"":           "",
+	}
+	for name, want := range tests {
+		t.Run(name, func(t *testing.T) {
+			require.Equal(t, want, near.Nearest(name, known))
+		})
+	}
+}
--- a/pkg/tree/check.go
+++ b/pkg/tree/check.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"slices"
 	"strings"
+
+	"github.com/pistachiotack/pistachiotack/pkg/near"
 )
 
 // declare takes over the places and services that the text declares.
@@ -65,7 +67,7 @@
 	if len(known) == 0 {
 		allowed = "none is declared in " + where
 	}
-	r.add(code, table.path.String(), table.line, fmt.Sprintf("%q", name), nearest(name, known), allowed)
+	r.add(code, table.path.String(), table.line, fmt.Sprintf("%q", name), near.Nearest(name, known), allowed)
 }
 
 // checkKinds refuses kinds without a pattern, or with one that another kind has as well.
@@ -91,7 +93,7 @@
 		}
 		method, stated := r.tree.Stated(path.Dotted(keyMethod))
 		if stated && !slices.Contains(methods, method.Value.text) {
-			r.add(CodeBadUnit, method.Dotted(), method.Line, method.Value.String(), nearest(method.Value.text, methods), strings.Join(methods, ", "))
+			r.add(CodeBadUnit, method.Dotted(), method.Line, method.Value.String(), near.Nearest(method.Value.text, methods), strings.Join(methods, ", "))
 		}
 		match := path.Service + " " + method.Value.text + " " + pattern.Value.text
 		if other, taken := patterns[match]; taken {
--- a/pkg/tree/value.go
+++ b/pkg/tree/value.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/pistachiotack/pistachiotack/pkg/near"
+
 	"github.com/pelletier/go-toml/v2/unstable"
 
 	"github.com/pistachiotack/pistachiotack/pkg/call"
@@ -172,7 +174,7 @@
 		v.number = float64(size)
 	case TypeClass:
 		bad.Allowed = "bulk, normal, high, vital"
-		bad.Nearest = nearest(text, []string{"bulk", "normal", "high", "vital"})
+		bad.Nearest = near.Nearest(text, []string{"bulk", "normal", "high", "vital"})
 		class, err := call.ParseClass(text)
 		if err != nil {
 			return bad
