--- a/internal/proof/line_test.go
+++ b/internal/proof/line_test.go
@@ -73,7 +73,7 @@
 	return fmt.Sprintf("127.%d.2.%d", 1+os.Getpid()%200, number+1)
 }
 
-func newLine(t *testing.T, options lineOptions) *line {
+func newLine(t testing.TB, options lineOptions) *line {
 	t.Helper()
 	l := &line{ledger: fake.NewLedger(), client: fake.NewClient()}
 	t.Cleanup(l.client.CloseIdleConnections)
@@ -100,7 +100,7 @@
 }
 
 // prepare starts the stand-in and the link of one target, and returns the settings of its node.
-func (l *line) prepare(t *testing.T, service lineService, i int, tree string, table config.Platform) config.Node {
+func (l *line) prepare(t testing.TB, service lineService, i int, tree string, table config.Platform) config.Node {
 	t.Helper()
 	number := len(l.targets)
 	backend, clean, err := fake.New(t.Context(), fake.Options{Service: service.name, Seed: uint64(number), Routes: service.routes, Ledger: l.ledger},
@@ -127,7 +127,7 @@
 	return settings
 }
 
-func (l *line) start(t *testing.T, directory string, settings []config.Node) {
+func (l *line) start(t testing.TB, directory string, settings []config.Node) {
 	t.Helper()
 	binary, err := proof.Binary(t.Context())
 	require.NoError(t, err)
@@ -150,7 +150,7 @@
 	}
 }
 
-func (target *lineTarget) end(t *testing.T) {
+func (target *lineTarget) end(t testing.TB) {
 	t.Helper()
 	_ = target.node.Resume()
 	_ = target.node.Kill()
--- a/internal/proof/once_test.go
+++ b/internal/proof/once_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/url"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -41,7 +42,7 @@
 	pokladna     = "pokladna"
 )
 
-func newOnce(t *testing.T, work time.Duration) *line {
+func newOnce(t testing.TB, work time.Duration) *line {
 	t.Helper()
 
 	return newLine(t, lineOptions{tree: onceTree, platform: true, services: []lineService{
@@ -50,7 +51,7 @@
 }
 
 // ticket asks for a ticket and returns the URL to repeat.
-func (l *line) ticket(t *testing.T, entry *lineTarget, path, service, request string) string {
+func (l *line) ticket(t testing.TB, entry *lineTarget, path, service, request string) string {
 	t.Helper()
 	got := l.call(t.Context(), entry, http.MethodPost, uriOf(path, request), wire.HeaderService, service)
 	require.Equal(t, http.StatusTemporaryRedirect, got.status, got.body)
@@ -265,3 +266,34 @@
 
 	return l.homeOf(t, http.Header{wire.HeaderTicket: {parsed.Query().Get(wire.QueryTicket)}})
 }
+
+// BenchmarkDeposit measures one deposit by ticket, by key, and by ticket with the table away, one after the other.
+func BenchmarkDeposit(b *testing.B) {
+	ways := map[string]func(l *line, request string) reply{
+		"ticket": func(l *line, request string) reply {
+			return l.deposit(b.Context(), l.targets[0], l.ticket(b, l.targets[0], depositPath, pokladna, request))
+		},
+		"key": func(l *line, request string) reply {
+			return l.deposit(b.Context(), l.targets[0], uriOf(depositPath, request), wire.HeaderIdempotencyKey, request)
+		},
+	}
+	for _, way := range []struct {
+		name, by string
+		mode     plat.Mode
+	}{{"ticket", "ticket", plat.ModeNone}, {"key", "key", plat.ModeNone}, {"ticketTableAway", "ticket", plat.ModeDown}} {
+		b.Run(way.name, func(b *testing.B) {
+			l := newOnce(b, time.Millisecond)
+			l.platform.SetFault(plat.NewFault(way.mode))
+			took := make([]time.Duration, 0, b.N)
+			for i := 0; b.Loop(); i++ {
+				began := time.Now()
+				got := ways[way.by](l, fmt.Sprint(way.name, i))
+				took = append(took, time.Since(began))
+				require.Equal(b, http.StatusOK, got.status, got.body)
+			}
+			slices.Sort(took)
+			b.ReportMetric(float64(took[len(took)/2].Microseconds()), "p50-us")
+			b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-us")
+		})
+	}
+}
