Keep an earlier edit's damage out of the next trial's counts

Its targets had three slots, so executing nodes refused one important call in twenty, which entries placed elsewhere; and requests that began under the refused edit ended within the next trial. Change: a request counts only if the settings it began with are in force when it ends.

--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -104,11 +104,21 @@
 	if refusal != nil {
 		r.refuse(refusal)
 	}
-	class := policy.Priority
-	if inherited.Snapshot.Trial() != "" {
-		class = inherited.Snapshot.Judged(policy, e.options.DataCentre, string(ctx.Request.Header.Method()), string(ctx.Request.URI().Path()))
+	r.count(refusal)
+}
+
+// count adds the request to the goodput, unless it began under other settings than those in force now.
+func (r *request) count(refusal *call.Refusal) {
+	snapshot := r.scope.Snapshot
+	if snapshot != r.entry.settings.Snapshot() {
+		return
+	}
+	class := r.policy.Priority
+	if snapshot.Trial() != "" {
+		request := &r.http.Request
+		class = snapshot.Judged(r.policy, r.entry.options.DataCentre, string(request.Header.Method()), string(request.URI().Path()))
 	}
-	e.goodput.Note(class, ctx.Response.StatusCode(), refusal)
+	r.entry.goodput.Note(class, r.http.Response.StatusCode(), refusal)
 }
 
 // deadline returns the earlier of the inherited deadline and the one that the caller states.
--- a/internal/exec/handle.go
+++ b/internal/exec/handle.go
@@ -66,11 +66,20 @@
 	if refusal != nil {
 		x.refuse(refusal)
 	}
+	x.count(refusal)
+}
+
+// count adds the call to the goodput, unless it began under other settings than those in force now.
+func (x *execution) count(refusal *call.Refusal) {
+	if x.snapshot != x.exec.settings.Snapshot() {
+		return
+	}
 	class := x.policy.Priority
-	if snapshot.Trial() != "" {
-		class = snapshot.Judged(x.policy, e.options.DataCentre, string(header.Method()), string(ctx.Request.URI().Path()))
+	if x.snapshot.Trial() != "" {
+		request := &x.http.Request
+		class = x.snapshot.Judged(x.policy, x.exec.options.DataCentre, string(request.Header.Method()), string(request.URI().Path()))
 	}
-	e.goodput.Note(class, ctx.Response.StatusCode(), refusal)
+	x.exec.goodput.Note(class, x.http.Response.StatusCode(), refusal)
 }
 
 // run takes the call through admission to the backend server.
