--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -25,6 +25,8 @@
 	maxCalls = 32
 	// flushRounds is how many rounds of gossip a leaving node waits for.
 	flushRounds = 3
+	// startGrace is how long a node that starts is kept quiet about, so that it does not take the place of one that serves.
+	startGrace = time.Second
 )
 
 // Control calls other nodes and serves their calls.
@@ -64,9 +66,12 @@
 	view    atomic.Pointer[view]
 	changes chan struct{}
 	cancel  context.CancelFunc
-	loops   *errgroup.Group
-	calls   *errgroup.Group
-	done    chan error
+	// launch starts the loops, once.
+	launch   func()
+	launched sync.Once
+	loops    *errgroup.Group
+	calls    *errgroup.Group
+	done     chan error
 }
 
 // New returns the service, which knows only the node itself and the fixed targets.
@@ -83,7 +88,9 @@
 		fixed:   map[string]config.Target{},
 		changes: make(chan struct{}, 1),
 		done:    make(chan error, 1),
+		calls:   &errgroup.Group{},
 	}
+	g.calls.SetLimit(maxCalls)
 	for _, target := range options.Targets {
 		g.fixed[target.Name] = target
 	}
@@ -97,7 +104,8 @@
 	return Name
 }
 
-// Start announces the node and begins to exchange with others; service `control` must be there, `store` may be.
+// Start prepares the node's entry, of which nobody hears before it serves or was starting for long; service `control` must be
+// there, `store` may be.
 func (g *Gossip) Start(ctx context.Context, k *kernel.Kernel) (<-chan error, error) {
 	var err error
 	if g.control, err = kernel.Find[Control](k, "control"); err != nil {
@@ -113,20 +121,21 @@
 	g.fleet = member.New(self, g.options.Timing, g.began)
 	g.fleet.AddContacts(g.options.Seeds)
 	g.Introduce(fixedEntries(g.options.Targets))
-	if err := g.control.Register(receiverName, &Receiver{gossip: g}); err != nil {
-		return nil, err
-	}
-	g.run(ctx)
+	ctx, g.cancel = context.WithCancel(ctx)
+	g.loops, ctx = errgroup.WithContext(ctx)
+	g.launch = func() { g.run(ctx) }
+	time.AfterFunc(startGrace, func() { g.launched.Do(g.launch) })
 
 	return g.done, nil
 }
 
-// run starts the loops; their end is reported on the done channel once the calls under way have ended too.
+// run serves the calls of others and starts the loops; their end is reported on the done channel once the calls under way have ended too.
 func (g *Gossip) run(ctx context.Context) {
-	ctx, g.cancel = context.WithCancel(ctx)
-	g.loops, ctx = errgroup.WithContext(ctx)
-	g.calls = &errgroup.Group{}
-	g.calls.SetLimit(maxCalls)
+	if err := g.control.Register(receiverName, &Receiver{gossip: g}); err != nil {
+		g.done <- err
+
+		return
+	}
 	g.loops.Go(func() error { return g.tickLoop(ctx) })
 	if g.table != nil {
 		g.loops.Go(func() error { return g.contactLoop(ctx) })
@@ -144,6 +153,7 @@
 		g.Flush(ctx)
 	}
 	g.cancel()
+	g.launched.Do(func() { g.done <- nil })
 
 	return nil
 }
@@ -188,7 +198,12 @@
 
 // SetState announces a new state of the node, with an error that wraps member.ErrTransition if its life does not allow it.
 func (g *Gossip) SetState(state member.State) error {
-	return g.change(func(now time.Time) error { return g.fleet.SetState(now, state) })
+	err := g.change(func(now time.Time) error { return g.fleet.SetState(now, state) })
+	if err == nil && state == member.StateServing {
+		g.launched.Do(g.launch)
+	}
+
+	return err
 }
 
 // SetRevision sets the settings revision that the node's messages mention.
--- a/internal/proof/member_test.go
+++ b/internal/proof/member_test.go
@@ -92,6 +92,22 @@
 	awaitState(t, fleet.Members[1:], leaver, member.StateLeft)
 }
 
+// TestBackendServersOwnDrainReportCounts lets a backend server say that it drains, while its node stays.
+func TestBackendServersOwnDrainReportCounts(t *testing.T) {
+	fleet := start(t, proof.Options{Example: small(t), Tree: treeOf(t, "rijksbureau")})
+	leaver := fleet.Members[0]
+	scene := proof.Scene{Name: "report", Usual: 0.15, Begin: func(context.Context, *proof.Fleet) error {
+		leaver.Backend.Server.Change(func(b *fake.Behaviour) { b.Draining = true })
+
+		return nil
+	}}
+	report, err := fleet.Play(t.Context(), scene, proof.Timing{Before: time.Second, During: 4 * time.Second, After: time.Second}, nil)
+	require.NoError(t, err)
+	requireKept(t, fleet, report)
+	require.Zero(t, fleet.Ledger.Totals().AfterDrain)
+	awaitState(t, fleet.Members, leaver, member.StateDraining)
+}
+
 func TestPausedNodeCondemnsNobodyAndComesBack(t *testing.T) {
 	fleet := start(t, proof.Options{Example: small(t), Tree: treeOf(t, "rijksbureau"), Change: quick})
 	awaitAllServing(t, fleet.Members)
--- a/tools/slope/fleet.go
+++ b/tools/slope/fleet.go
@@ -109,17 +109,17 @@
 	}.WithDefaults()
 }
 
-// agree waits until every node sees all as serving.
+// agree waits until every node sees all as living.
 func (f *fleet) agree(ctx context.Context) error {
 	for _, node := range f.nodes {
 		for {
 			status, err := f.status(ctx, node)
-			if err == nil && serving(status) == len(f.nodes) {
+			if err == nil && living(status) == len(f.nodes) {
 				break
 			}
 			select {
 			case <-ctx.Done():
-				return errors.Newf("%s sees %d of %d nodes serving: %v", node.Settings().Name, serving(status), len(f.nodes), err)
+				return errors.Newf("%s sees %d of %d nodes living: %v", node.Settings().Name, living(status), len(f.nodes), err)
 			case <-time.After(agreePoll):
 			}
 		}
@@ -128,10 +128,10 @@
 	return nil
 }
 
-func serving(status gossip.Status) int {
+func living(status gossip.Status) int {
 	count := 0
 	for _, m := range status.Members {
-		if m.State == member.StateServing {
+		if !m.State.Ended() && m.State != member.StateSuspect {
 			count++
 		}
 	}
