--- a/internal/proof/proc.go
+++ b/internal/proof/proc.go
@@ -17,6 +17,7 @@
 const (
 	fileMode      = 0o600
 	readyPoll     = 10 * time.Millisecond
+	pausePoll     = time.Millisecond
 	logTail       = 8 << 10
 	readyFileName = ".ready.toml"
 )
@@ -96,9 +97,20 @@
 	return p.settings
 }
 
-// Pause stops the process in its tracks, without its knowledge.
+// Pause stops the process in its tracks, without its knowledge, and returns once the kernel has done so.
 func (p *Process) Pause() error {
-	return p.signal(syscall.SIGSTOP)
+	if err := p.signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	for p.Running() {
+		stopped, err := stoppedProcess(p.command.Process.Pid)
+		if err != nil || stopped {
+			return err
+		}
+		time.Sleep(pausePoll)
+	}
+
+	return nil
 }
 
 // Resume lets a paused process go on.
--- a/internal/proof/usage.go
+++ b/internal/proof/usage.go
@@ -54,6 +54,17 @@
 	}, nil
 }
 
+// stoppedProcess reports whether a signal has stopped the process.
+func stoppedProcess(pid int) (bool, error) {
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return false, errors.Wrap(err, "read process stat")
+	}
+	_, after, _ := strings.Cut(string(stat), ") ")
+
+	return strings.HasPrefix(after, "T"), nil
+}
+
 func kibibytes(status, key string) int64 {
 	_, after, _ := strings.Cut(status, key)
 	fields := strings.Fields(after)
