--- /dev/null
+++ b/internal/entry/adapt_test.go
@@ -0,0 +1,80 @@
+package entry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiotack/pistachiotack/internal/entry"
+	"github.com/pistachiotack/pistachiotack/internal/trace"
+	"github.com/pistachiotack/pistachiotack/pkg/call"
+	"github.com/pistachiotack/pistachiotack/pkg/member"
+	"github.com/pistachiotack/pistachiotack/pkg/tree"
+)
+
+type lines struct{ all []trace.Decision }
+
+func (l *lines) Decide(d trace.Decision) { l.all = append(l.all, d) }
+
+func fleet() []member.Entry {
+	var members []member.Entry
+	for _, id := range []string{"a", "b", "c"} {
+		members = append(members, member.Entry{ID: id, Incarnation: 1, DataCentre: "hal-a", State: member.StateServing, Slots: 10})
+	}
+
+	return members
+}
+
+func TestFaultsEjectWithALineAndRefusalsBelowDoNot(t *testing.T) {
+	for name, test := range map[string]struct {
+		result  entry.Result
+		ejected bool
+	}{
+		"fault":            {entry.Result{Outcome: call.OutcomeRan, Status: 500, HasFeedback: true}, true},
+		"refused below":    {entry.Result{Outcome: call.OutcomeRan, Status: 503, HasFeedback: true, Feedback: call.Feedback{Final: true}}, false},
+		"hanging backend":  {entry.Result{Outcome: call.OutcomeUnknown, Reason: call.ReasonCancelled, Silent: true}, true},
+		"caller that left": {entry.Result{Outcome: call.OutcomeUnknown, Reason: call.ReasonCancelled}, false},
+		"overload":         {entry.Result{Outcome: call.OutcomeNotRun, Reason: call.ReasonQueueFull}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			log := &lines{}
+			chooser := entry.NewAdaptiveChooser(entry.AdaptiveOptions{Node: "n", DataCentre: "hal-a", Seed: 1, Tracer: log})
+			policy := tree.Default()
+			policy.Service = "keuring"
+			now, members := time.Now(), fleet()
+			query := entry.Query{Service: "keuring", Policy: policy, Rank: call.ClassHigh.Floor(), Tried: []string{"b", "c"}}
+			for range policy.EjectAfter {
+				choice, refusal := chooser.Choose(now, query, members)
+				require.Nil(t, refusal)
+				require.Equal(t, "a", choice.Target.ID)
+				result := test.result
+				result.Service, result.Target, result.Incarnation = "keuring", choice.Target.ID, 1
+				chooser.Done(now, result)
+			}
+			require.Equal(t, test.ejected, len(log.all) == 1)
+			if test.ejected {
+				require.Equal(t, trace.StepEject, log.all[0].Step)
+				require.Equal(t, "a", log.all[0].Chosen)
+			}
+		})
+	}
+}
+
+func TestAdaptiveRetrierKeepsEachServiceToItsBudget(t *testing.T) {
+	retrier := entry.NewAdaptiveRetrier(1)
+	policy := tree.Default()
+	policy.Idempotent = true
+	failure := entry.Failure{
+		Service: "keuring", Policy: policy, Attempt: 1, Outcome: call.OutcomeUnknown, Reason: call.ReasonBroken,
+		Remaining: time.Second, Credits: 3, Others: 2,
+	}
+	retrier.First(time.Now(), "keuring", 0.1)
+	require.True(t, retrier.Decide(time.Now(), failure).Retry)
+	require.Equal(t, call.ReasonRetryBudget, retrier.Decide(time.Now(), failure).Reason)
+	failure.Service = "alarm"
+	retrier.First(time.Now(), "alarm", 0.1)
+	require.True(t, retrier.Decide(time.Now(), failure).Retry)
+	failure.Policy.Once = true
+	require.False(t, retrier.Decide(time.Now(), failure).Retry)
+}
