--- a/internal/peers/service.go
+++ b/internal/peers/service.go
@@ -16,7 +16,7 @@
 
 const (
 	defaultTimeout = 2 * time.Second
-	defaultIdle    = 10 * time.Second
+	defaultIdle    = 3 * time.Second
 	defaultMaxOpen = 64
 	// serverIdleFactor keeps a server from closing a connection that its client still counts on.
 	serverIdleFactor = 3
