Let a node without a backend server serve as an entry

It now announces that it serves, without an address for forwarded calls, and so is no target (TestEntryWithoutBackendServerServesButIsNoTarget).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,7 +67,7 @@
 	if n.started, err = k.Start(ctx); err != nil {
 		return nil, err
 	}
-	if err = n.announce(); err != nil {
+	if err = errors.CombineErrors(n.serveAlone(), n.announce()); err != nil {
 		return nil, errors.CombineErrors(err, n.started.Stop(ctx))
 	}
 	n.stop = sync.OnceValue(func() error { return n.drainAndStop(ctx) })
@@ -82,6 +82,15 @@
 	return n, nil
 }
 
+// serveAlone announces a node without a backend server, which serves as an entry and takes no forwarded calls.
+func (n *Node) serveAlone() error {
+	if n.settings.Backend.Address != "" {
+		return nil
+	}
+
+	return n.gossip.SetState(member.StateServing)
+}
+
 // Wait returns when the context ends, or with an error when a service of the node ends.
 func (n *Node) Wait(ctx context.Context) error {
 	return n.started.Wait(ctx)
