Write the decision log in batches

Cause: each line woke the writer's goroutine and was a write of its own, three times a call on the entry's and the executing node's path. Change: decisions wait in a bounded buffer that is formatted and written every 25 ms, or when half full.

--- a/internal/cmds/node.go
+++ b/internal/cmds/node.go
@@ -40,7 +40,7 @@
 	}
 	debug.SetGCPercent(garbagePercent)
 	runtime.GOMAXPROCS(settings.Processors)
-	started, err := node.Start(env.Context, settings, snapshot, log)
+	started, err := node.Start(env.Context, settings, snapshot, node.Logs{Log: log, Decisions: env.Out})
 	if err != nil {
 		return err
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -97,7 +97,7 @@
 		},
 		Platform: config.Platform{Table: m.Platform.Address(), Objects: m.Platform.Address()},
 	}.WithDefaults()
-	started, err := node.Start(ctx, settings, m.options.Snapshot, m.options.Log)
+	started, err := node.Start(ctx, settings, m.options.Snapshot, node.Logs{Log: m.options.Log})
 	if err != nil {
 		return errors.Wrapf(err, "start node %s", settings.Name)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"log/slog"
 	"sync"
 	"time"
@@ -19,7 +20,6 @@
 	"github.com/pistachiotack/pistachiotack/internal/meter"
 	"github.com/pistachiotack/pistachiotack/internal/peers"
 	"github.com/pistachiotack/pistachiotack/internal/store"
-	"github.com/pistachiotack/pistachiotack/internal/trace"
 	"github.com/pistachiotack/pistachiotack/pkg/config"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
 	"github.com/pistachiotack/pistachiotack/pkg/tree"
@@ -46,10 +46,22 @@
 	stop        func() error
 }
 
+// Logs are where a node writes; the decision log has a writer of its own, so that many lines go out at once.
+type Logs struct {
+	Log *slog.Logger
+	// Decisions may be nil for none.
+	Decisions io.Writer
+}
+
+// Quiet returns logs that go nowhere.
+func Quiet() Logs {
+	return Logs{Log: slog.New(slog.DiscardHandler)}
+}
+
 // Start builds and starts a node; it runs until Stop.
-func Start(ctx context.Context, settings config.Node, snapshot *tree.Snapshot, log *slog.Logger) (*Node, error) {
+func Start(ctx context.Context, settings config.Node, snapshot *tree.Snapshot, logs Logs) (*Node, error) {
 	ctx = context.WithoutCancel(ctx)
-	n := &Node{settings: settings, incarnation: uint64(time.Now().UnixNano()), log: log, snapshot: snapshot}
+	n := &Node{settings: settings, incarnation: uint64(time.Now().UnixNano()), log: logs.Log, snapshot: snapshot}
 	var err error
 	if n.store, err = store.New(store.Options{
 		Table:   settings.Platform.Table,
@@ -58,8 +70,8 @@
 	}); err != nil {
 		return nil, err
 	}
-	k := kernel.New(log)
-	for _, service := range n.services() {
+	k := kernel.New(logs.Log)
+	for _, service := range n.services(logs) {
 		if err := k.Register(service); err != nil {
 			return nil, err
 		}
@@ -157,9 +169,9 @@
 }
 
 // services returns the services in the order in which they start.
-func (n *Node) services() []kernel.Service {
+func (n *Node) services(logs Logs) []kernel.Service {
 	s := n.settings
-	decisions := trace.New(n.log, s.Name, s.Log.Buffer, s.Log.Decisions)
+	decisions := n.decisions(logs)
 	chooser, retrier := n.routing(decisions)
 	n.control = peers.New(peers.Options{Listen: s.Listen.Control, Log: n.log})
 	n.gossip = n.newGossip()
--- a/internal/node/policy.go
+++ b/internal/node/policy.go
@@ -9,6 +9,16 @@
 	"github.com/pistachiotack/pistachiotack/pkg/config"
 )
 
+// decisions returns the decision log, which only writes lines if the settings ask for them.
+func (n *Node) decisions(logs Logs) *trace.Log {
+	out := logs.Decisions
+	if !n.settings.Log.Decisions {
+		out = nil
+	}
+
+	return trace.New(out, n.settings.Name, n.settings.Log.Buffer)
+}
+
 // admitter returns the decisions on who runs that the settings select.
 func (n *Node) admitter(decisions *trace.Log) exec.Admitter {
 	slots := n.settings.Backend.Slots
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -1,7 +1,9 @@
 package trace
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"log/slog"
 	"sync"
 	"sync/atomic"
@@ -50,29 +52,41 @@
 	Revision   uint64        `json:"revision"`
 }
 
+// Batches of lines are written this often, and earlier when the buffer is half full.
+const batchInterval = 25 * time.Millisecond
+
 // Log is the kernel service that writes and keeps decisions.
 type Log struct {
-	log     *slog.Logger
+	out     io.Writer
 	node    string
-	write   bool
-	queue   chan Decision
-	dropped atomic.Uint64
 	recent  *ring
+	dropped atomic.Uint64
 	cancel  context.CancelFunc
 	once    sync.Once
 	ended   chan struct{}
+	early   chan struct{}
+
+	mu      sync.Mutex
+	most    int
+	waiting []Decision
+	spare   []Decision
+	text    bytes.Buffer
+	lines   *slog.Logger
 }
 
-// New returns a log for that node with a buffer of that many lines, and writes lines only if asked to.
-func New(log *slog.Logger, node string, buffer int, write bool) *Log {
-	return &Log{
-		log:    log,
+// New returns a log for that node which holds up to that many lines until they are written, out nil to write none.
+func New(out io.Writer, node string, buffer int) *Log {
+	l := &Log{
+		out:    out,
 		node:   node,
-		write:  write,
-		queue:  make(chan Decision, buffer),
+		most:   buffer,
 		recent: newRing(recentDecisions),
 		ended:  make(chan struct{}),
+		early:  make(chan struct{}, 1),
 	}
+	l.lines = slog.New(slog.NewJSONHandler(&l.text, nil))
+
+	return l
 }
 
 // String returns the name of the service.
@@ -90,7 +104,7 @@
 	return done, nil
 }
 
-// Stop writes what is queued and ends the writer.
+// Stop writes what is waiting and ends the writer.
 func (l *Log) Stop(ctx context.Context) error {
 	l.once.Do(l.cancel)
 	select {
@@ -101,23 +115,26 @@
 	}
 }
 
-// Decide queues a decision, or counts it as dropped if the queue is full.
+// Decide keeps a decision for explain and for the next batch of lines, or counts it as dropped if the buffer is full.
+//
+// Waking the writer for each line would cost a call more than all else it does here, so only a half-full buffer does.
 func (l *Log) Decide(decision Decision) {
 	if decision.Time.IsZero() {
 		decision.Time = time.Now()
 	}
 	l.recent.add(decision)
-	if !l.write {
+	if l.out == nil {
 		return
 	}
-	select {
-	case l.queue <- decision:
-	default:
-		l.dropped.Add(1)
+	if l.enqueue(decision) {
+		select {
+		case l.early <- struct{}{}:
+		default:
+		}
 	}
 }
 
-// Dropped returns how many lines were not written because the queue was full.
+// Dropped returns how many lines were not written because the buffer was full.
 func (l *Log) Dropped() uint64 {
 	return l.dropped.Load()
 }
@@ -127,14 +144,32 @@
 	return l.recent.find(id)
 }
 
+// enqueue reports whether the buffer has just become half full.
+func (l *Log) enqueue(decision Decision) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.waiting) >= l.most {
+		l.dropped.Add(1)
+
+		return false
+	}
+	l.waiting = append(l.waiting, decision)
+
+	return len(l.waiting) == (l.most+1)/2
+}
+
 func (l *Log) run(ctx context.Context, done chan<- error) {
 	defer close(l.ended)
+	ticker := time.NewTicker(batchInterval)
+	defer ticker.Stop()
 	for {
 		select {
-		case decision := <-l.queue:
-			l.print(decision)
+		case <-ticker.C:
+			l.write()
+		case <-l.early:
+			l.write()
 		case <-ctx.Done():
-			l.flush()
+			l.write()
 			done <- nil
 
 			return
@@ -142,15 +177,23 @@
 	}
 }
 
-func (l *Log) flush() {
-	for {
-		select {
-		case decision := <-l.queue:
-			l.print(decision)
-		default:
-			return
+// write formats all that waits and writes it at once.
+func (l *Log) write() {
+	l.mu.Lock()
+	batch := l.waiting
+	l.waiting = l.spare[:0]
+	l.mu.Unlock()
+	if len(batch) > 0 {
+		l.text.Reset()
+		for i := range batch {
+			l.print(batch[i])
+		}
+		if _, err := l.out.Write(l.text.Bytes()); err != nil {
+			l.dropped.Add(uint64(len(batch)))
 		}
 	}
+	clear(batch)
+	l.spare = batch
 }
 
 // print leaves out what the decision does not state, because formatting is most of the log's cost.
@@ -174,7 +217,7 @@
 		line = append(line, slog.Duration("took", d.Took))
 	}
 	line = append(line, slog.Uint64("revision", d.Revision))
-	l.log.LogAttrs(context.Background(), slog.LevelInfo, "decision", line...)
+	l.lines.LogAttrs(context.Background(), slog.LevelInfo, "decision", line...)
 }
 
 // maxAttrs is the number of attributes of a line that states everything.
