--- a/pkg/member/main_test.go
+++ b/pkg/member/main_test.go
@@ -11,7 +11,7 @@
 	if err := flag.Set("rapid.seed", "1"); err != nil {
 		panic(err)
 	}
-	if err := flag.Set("rapid.checks", "20"); err != nil {
+	if err := flag.Set("rapid.checks", "40"); err != nil {
 		panic(err)
 	}
 	os.Exit(m.Run())
