--- a/internal/node/alone_test.go
+++ b/internal/node/alone_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"log/slog"
 	"net/http"
 	"testing"
 
@@ -20,7 +19,7 @@
 	alone, err := node.Start(t.Context(), config.Node{
 		Name: "alone", DataCentre: "hal-a", Service: service,
 		Fleet: config.Fleet{Seeds: []string{target.Addresses().Control}},
-	}.WithDefaults(), tree.Empty(), slog.New(slog.DiscardHandler))
+	}.WithDefaults(), tree.Empty(), node.Quiet())
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = alone.Stop() })
 	require.Eventually(t, func() bool {
