--- a/internal/cmds/node.go
+++ b/internal/cmds/node.go
@@ -4,8 +4,6 @@
 	"io"
 	"log/slog"
 	"os"
-	"runtime"
-	"runtime/debug"
 
 	"github.com/cockroachdb/errors"
 
@@ -14,9 +12,6 @@
 	"github.com/pistachiotack/pistachiotack/pkg/tree"
 )
 
-// garbagePercent keeps a node within its memory at the price of some processor time.
-const garbagePercent = 50
-
 // NodeCommand runs a node until it is told to stop.
 type NodeCommand struct {
 	Settings string `help:"Settings file of the node (TOML)." placeholder:"FILE" required:""`
@@ -33,13 +28,11 @@
 	if err != nil || c.Check {
 		return err
 	}
-	staySmall()
 	log, err := newLogger(env.Out, settings.Log.Level)
 	if err != nil {
 		return err
 	}
-	debug.SetGCPercent(garbagePercent)
-	runtime.GOMAXPROCS(settings.Processors)
+	staySmall(settings.Processors)
 	started, err := node.Start(env.Context, settings, snapshot, node.Logs{Log: log, Decisions: env.Out})
 	if err != nil {
 		return err
--- a/internal/cmds/small.go
+++ b/internal/cmds/small.go
@@ -7,15 +7,12 @@
 )
 
 // A node shares its VM with the backend server, so it takes little of it; GOMAXPROCS and GOGC in the environment go first.
-const (
-	nodeProcessors = 2
-	nodeGCPercent  = 50
-)
+const nodeGCPercent = 50
 
 // staySmall bounds the processors and the memory that the node's runtime takes.
-func staySmall() {
+func staySmall(processors int) {
 	if os.Getenv("GOMAXPROCS") == "" {
-		runtime.GOMAXPROCS(min(nodeProcessors, runtime.NumCPU()))
+		runtime.GOMAXPROCS(min(processors, runtime.NumCPU()))
 	}
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(nodeGCPercent)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync/atomic"
-	"time"
 
 	"github.com/pistachiotack/pistachiotack/pkg/trial"
 
@@ -30,18 +29,6 @@
 // maxBody is the largest request body in bytes that a caller may send.
 const maxBody = 1 << 20
 
-// drainInterval is how often a drain looks for calls that are still open.
-const drainInterval = 10 * time.Millisecond
-
-// A caller that keeps its connection and asks again within the grace is answered, until the limit.
-const (
-	leaveGrace = 300 * time.Millisecond
-	leaveLimit = 3 * time.Second
-)
-
-// ErrDrainDeadline is returned by Drain when calls are still open at its deadline.
-var ErrDrainDeadline = errors.New("calls still open at the drain deadline")
-
 // Settings gives the settings tree in force.
 type Settings interface {
 	Snapshot() *tree.Snapshot
@@ -152,20 +139,9 @@
 	return e.callers.Refuse()
 }
 
-// Drain returns when no call is open and callers have left, ErrDrainDeadline if the context ends before.
+// Drain returns when no call is open and callers have left, listen.ErrDrainDeadline if the context ends before.
 func (e *Entry) Drain(ctx context.Context) error {
-	ticker := time.NewTicker(drainInterval)
-	defer ticker.Stop()
-	began := time.Now()
-	for e.active.Load() > 0 || (!e.callers.Quiet(leaveGrace) && time.Since(began) < leaveLimit) {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return errors.Wrapf(ErrDrainDeadline, "%d calls", e.active.Load())
-		}
-	}
-
-	return nil
+	return e.callers.Drain(ctx, e.active.Load)
 }
 
 func (e *Entry) find(k *kernel.Kernel) error {
--- a/internal/exec/exec.go
+++ b/internal/exec/exec.go
@@ -4,11 +4,9 @@
 	"context"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/pistachiotack/pistachiotack/pkg/trial"
 
-	"github.com/cockroachdb/errors"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/pistachiotack/pistachiotack/internal/kernel"
@@ -29,18 +27,6 @@
 // maxBody is the largest request body in bytes that a peer may send.
 const maxBody = 1 << 20
 
-// drainInterval is how often a drain looks for calls that still run.
-const drainInterval = 10 * time.Millisecond
-
-// A peer that has not heard of the drain yet is refused on its open connection, until the limit.
-const (
-	leaveGrace = 300 * time.Millisecond
-	leaveLimit = 3 * time.Second
-)
-
-// ErrDrainDeadline is returned by Drain when calls still run at its deadline.
-var ErrDrainDeadline = errors.New("calls still run at the drain deadline")
-
 // Settings gives the settings tree in force.
 type Settings interface {
 	Snapshot() *tree.Snapshot
@@ -179,22 +165,12 @@
 	return parent, found
 }
 
-// Drain refuses new calls and returns when none runs, ErrDrainDeadline if the context ends before.
+// Drain refuses new calls and returns when none runs, listen.ErrDrainDeadline if the context ends before.
 func (e *Exec) Drain(ctx context.Context) error {
 	e.SetState(member.StateDraining)
 	e.server.Leave()
-	began := time.Now()
-	ticker := time.NewTicker(drainInterval)
-	defer ticker.Stop()
-	for e.active.Load() > 0 || (!e.server.Quiet(leaveGrace) && time.Since(began) < leaveLimit) {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return errors.Wrapf(ErrDrainDeadline, "%d calls", e.active.Load())
-		}
-	}
 
-	return nil
+	return e.server.Drain(ctx, e.active.Load)
 }
 
 func (e *Exec) enter(op call.ID, running *scope.Scope) {
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -87,21 +87,6 @@
 	return s.done
 }
 
-// Leave asks the other ends to close their connections after their next answer.
-func (s *Server) Leave() {
-	s.leaving.Store(true)
-}
-
-// Refuse takes no more connections; those that are open go on.
-func (s *Server) Refuse() error {
-	return errors.Wrapf(s.listener.Refuse(), "refuse connections at %s", s.Address())
-}
-
-// Quiet reports whether no request is open and none ended within the grace.
-func (s *Server) Quiet(grace time.Duration) bool {
-	return s.open.Load() == 0 && time.Since(time.Unix(0, s.lastEnd.Load())) >= grace
-}
-
 // track counts open requests.
 func (s *Server) track(c context.Context, ctx *app.RequestContext) {
 	s.open.Add(1)
