State the length of answers to HEAD

Cause: HEAD answers said Content-Length 0. Change: the stated length is kept where there is no body. Result: TestRequestsAndAnswersPassUnchanged checks it; it failed before by the code read, not by a run.

--- a/internal/entry/pass.go
+++ b/internal/entry/pass.go
@@ -30,5 +30,6 @@
 		return
 	}
 	out.SetBody(answer.Response.Body())
+	wire.CopyStatedLength(out, &answer.Response)
 	answer.Close()
 }
--- a/internal/node/fidel_test.go
+++ b/internal/node/fidel_test.go
@@ -86,6 +86,9 @@
 			require.ElementsMatch(t, []string{"a=1; Path=/", "b=2; Path=/"}, answer.header.Values("Set-Cookie"))
 			require.Equal(t, []string{"one", "two"}, answer.header.Values("X-Many"))
 			require.Equal(t, "no-store", answer.header.Get("Cache-Control"))
+			if test.method == http.MethodHead {
+				require.Equal(t, "10", answer.header.Get("Content-Length"))
+			}
 			if test.answer != "" {
 				require.Equal(t, "application/vnd.cell+json", answer.header.Get("Content-Type"))
 			}
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -102,6 +102,13 @@
 	})
 }
 
+// CopyStatedLength keeps the length that an answer without a body states, as those to HEAD do.
+func CopyStatedLength(to, from *protocol.Response) {
+	if length := from.Header.ContentLength(); from.SkipBody && length >= 0 {
+		to.Header.SetContentLength(length)
+	}
+}
+
 // CopyResponseHeaders copies the headers that are passed on.
 func CopyResponseHeaders(to, from *protocol.ResponseHeader) {
 	from.VisitAll(func(key, value []byte) {
