Let reads leave a backend server that answers nothing

The executing node said running at each silent interval, so reads below them waited for their deadline on a server that answered nothing. Ruled out: the connection (new ones hung too) and the node (it answered). Change: pkg/pulse tells a stalled server from a slow one; entries ask for it and let repeatable calls go on elsewhere. The test fails without the change in the entry (34 s) and passes with it.

--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -224,16 +224,16 @@
 
 func (r *request) key(text string) claim.Key {
 	in := &r.http.Request
-	print := xxhash.New()
-	_, _ = print.Write(in.Header.Method())
-	_, _ = print.Write(in.Header.RequestURI())
-	_, _ = print.Write(in.Body())
+	sum := xxhash.New()
+	_, _ = sum.Write(in.Header.Method())
+	_, _ = sum.Write(in.Header.RequestURI())
+	_, _ = sum.Write(in.Body())
 
 	return claim.Key{
 		Service: r.policy.Service,
 		Caller:  string(in.Header.Peek(wire.HeaderCaller)),
 		Key:     text,
-		Print:   print.Sum64(),
+		Print:   sum.Sum64(),
 	}
 }
 
--- a/internal/entry/probe.go
+++ b/internal/entry/probe.go
@@ -45,8 +45,10 @@
 	switch {
 	case err != nil && p.request.repeatable():
 		return call.NewRefusal(call.OutcomeUnknown, call.ReasonBroken).WithDetail("%v", err)
-	case err != nil, verdict.Waits():
+	case err != nil:
 		return nil
+	case verdict.Waits():
+		return p.unlessStalled(c)
 	case p.attempt.Incarnation == 0 && verdict.Reason == call.ReasonWrongIncarnation:
 		// nothing is known of the target yet
 		return nil
@@ -62,11 +64,31 @@
 	return call.NewRefusal(verdict.Outcome, call.ReasonSilent).WithDetail("connection is silent, attempt is %s", verdict.State)
 }
 
+// unlessStalled ends an attempt that may be repeated if its target's backend server has stopped answering.
+func (p *probe) unlessStalled(c context.Context) error {
+	if !p.request.repeatable() {
+		return nil
+	}
+	c, cancel := context.WithTimeout(c, resolveTimeout)
+	defer cancel()
+	var vitals exec.Vitals
+	err := p.request.entry.control.Call(c, p.target.Control, exec.MethodVitals, exec.VitalsArgs{Kind: p.request.policy.Kind}, &vitals)
+	if err != nil || !vitals.Stalled {
+		return nil
+	}
+	p.request.entry.courier.cancel(p.target, p.attempt)
+
+	return call.NewRefusal(call.OutcomeUnknown, call.ReasonStalled).WithDetail("backend server of %s answers nothing", p.target.ID)
+}
+
 // settle makes an unknown result certain where the node can tell.
 func (p *probe) settle(c context.Context, result Result, answer *relay.Answer) Result {
 	if result.Outcome != call.OutcomeUnknown || (result.HasFeedback && result.Reason != call.ReasonTorn) {
 		return result
 	}
+	if result.Reason == call.ReasonStalled {
+		return result
+	}
 	if result.Reason == call.ReasonCancelled {
 		p.request.entry.courier.cancel(p.target, p.attempt)
 
--- a/internal/exec/control.go
+++ b/internal/exec/control.go
@@ -14,6 +14,7 @@
 	MethodCancel   = controlName + ".Cancel"
 	MethodRetire   = controlName + ".Retire"
 	MethodIdentify = controlName + ".Identify"
+	MethodVitals   = controlName + ".Vitals"
 )
 
 // maxResolveWait bounds the time for which Resolve waits for a once operation.
@@ -35,6 +36,17 @@
 	Service     string
 }
 
+// VitalsArgs ask whether the backend server still answers calls of a kind.
+type VitalsArgs struct {
+	Kind string
+}
+
+// Vitals tell of the backend server beside a node.
+type Vitals struct {
+	// Stalled says that calls run, but none has ended for far longer than usual.
+	Stalled bool
+}
+
 // Control serves the questions that other nodes ask on connections apart from the calls.
 type Control struct {
 	exec *Exec
@@ -68,6 +80,13 @@
 	return nil
 }
 
+// Vitals says whether the backend server has stopped answering.
+func (c *Control) Vitals(args VitalsArgs, vitals *Vitals) error {
+	*vitals = Vitals{Stalled: c.exec.stalled(args.Kind)}
+
+	return nil
+}
+
 // Identify returns the incarnation of the process.
 func (c *Control) Identify(_ IdentifyArgs, identity *Identity) error {
 	*identity = Identity{Incarnation: c.exec.options.Incarnation, Service: c.exec.options.Service}
--- a/internal/exec/exec.go
+++ b/internal/exec/exec.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/pistachiotack/pistachiotack/pkg/trial"
 
@@ -18,6 +19,7 @@
 	"github.com/pistachiotack/pistachiotack/pkg/call"
 	"github.com/pistachiotack/pistachiotack/pkg/credit"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
+	"github.com/pistachiotack/pistachiotack/pkg/pulse"
 	"github.com/pistachiotack/pistachiotack/pkg/tree"
 )
 
@@ -73,6 +75,7 @@
 	mu      sync.RWMutex
 	running map[call.ID]*scope.Scope
 	book    *book
+	pulse   *pulse.Pulse
 	records Recorder
 	goodput meter.Goodput
 }
@@ -80,7 +83,7 @@
 // New returns an executing node that still has to be started.
 func New(options Options) *Exec {
 	client, closeClient := relay.NewClient(relay.BackendIdle)
-	e := &Exec{options: options, client: client, close: closeClient, running: map[call.ID]*scope.Scope{}, book: newBook(options.Incarnation)}
+	e := &Exec{options: options, client: client, close: closeClient, running: map[call.ID]*scope.Scope{}, book: newBook(options.Incarnation), pulse: pulse.New()}
 	e.state.Store(member.StateServing)
 
 	return e
@@ -179,6 +182,33 @@
 	e.running[op] = running
 }
 
+// began counts a call that the backend server begins to run.
+func (e *Exec) began() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.pulse.Start(time.Now())
+}
+
+// ended counts a call that the backend server has answered, or has not.
+func (e *Exec) ended(answered bool, kind string, took time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !answered {
+		e.pulse.Lost()
+
+		return
+	}
+	e.pulse.Answered(time.Now(), kind, took)
+}
+
+// stalled reports whether the backend server has stopped answering.
+func (e *Exec) stalled(kind string) bool {
+	e.mu.RLock()
+	defer e.mu.RUnlock()
+
+	return e.pulse.Stalled(time.Now(), kind)
+}
+
 // leave ends the operation and returns the attempts that it leaves unspent.
 func (e *Exec) leave(op call.ID, running *scope.Scope) credit.Grant {
 	e.mu.Lock()
--- /dev/null
+++ b/internal/proof/stall_test.go
@@ -0,0 +1,78 @@
+package proof_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const stallTree = `places = ["hal-a"]
+services = ["keuring"]
+slowStart = "100ms"
+[service.keuring.kind.inspection]
+method = "GET"
+path = "/inspections/*"
+idempotent = true
+deadline = "30s"
+progress = "200ms"
+retryRatio = 0.5
+`
+
+// silenced counts the requests of each backend server, one of which answers nothing.
+type silenced struct {
+	mu       sync.Mutex
+	arrivals map[string]int
+	address  string
+}
+
+func (s *silenced) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	address, _ := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
+	s.mu.Lock()
+	s.arrivals[address.String()]++
+	silent := address.String() == s.address
+	s.mu.Unlock()
+	if silent {
+		<-r.Context().Done()
+
+		return
+	}
+	_, _ = io.WriteString(w, "inspected")
+}
+
+func (s *silenced) silence(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.address = address
+}
+
+func (s *silenced) of(address string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.arrivals[address]
+}
+
+// TestReadsLeaveABackendServerThatAnswersNothing silences one of two backend servers, whose nodes stay well.
+func TestReadsLeaveABackendServerThatAnswersNothing(t *testing.T) {
+	servers := &silenced{arrivals: map[string]int{}}
+	l := newLine(t, lineOptions{tree: stallTree, services: []lineService{{name: lifeService, targets: 2, handler: servers}}})
+	entry, quiet := l.targets[1], l.targets[0].node.Settings().Backend.Address
+	const known, more = 20, 1
+	require.Eventually(t, func() bool {
+		require.Equal(t, http.StatusOK, l.inspect(t, entry).status)
+
+		return servers.of(quiet) >= known
+	}, linePatience, linePoll, "the server is known to answer")
+
+	servers.silence(quiet)
+	before := servers.of(quiet)
+	require.Eventually(t, func() bool {
+		require.Equal(t, http.StatusOK, l.inspect(t, entry).status, "a read waits for a server that answers nothing")
+
+		return servers.of(quiet) >= before+more
+	}, linePatience, linePoll, "a read has reached the silent server and left it again")
+}
--- a/internal/wire/refuse.go
+++ b/internal/wire/refuse.go
@@ -52,6 +52,7 @@
 	call.ReasonBackendFault:   statusBadGateway,
 	call.ReasonDeadline:       statusTimeout,
 	call.ReasonSilent:         statusTimeout,
+	call.ReasonStalled:        statusTimeout,
 	call.ReasonTooDeep:        statusLoop,
 }
 
--- a/pkg/call/outcome.go
+++ b/pkg/call/outcome.go
@@ -42,6 +42,7 @@
 	ReasonWrongIncarnation Reason = "wrongIncarnation"
 	ReasonDuplicate        Reason = "duplicate"
 	ReasonSilent           Reason = "silent"
+	ReasonStalled          Reason = "stalled"
 	ReasonConnect          Reason = "connectFailed"
 	ReasonBroken           Reason = "connectionBroken"
 	ReasonTorn             Reason = "tornAnswer"
--- a/pkg/route/target.go
+++ b/pkg/route/target.go
@@ -40,7 +40,7 @@
 // Judge returns the verdict for an attempt's outcome and reason; a silent connection does not blame the target.
 func Judge(outcome call.Outcome, reason call.Reason) Verdict {
 	switch reason {
-	case call.ReasonConnect, call.ReasonBroken, call.ReasonTorn, call.ReasonBackendFault:
+	case call.ReasonConnect, call.ReasonBroken, call.ReasonTorn, call.ReasonBackendFault, call.ReasonStalled:
 		return VerdictFault
 	case call.ReasonDraining, call.ReasonWrongIncarnation:
 		return VerdictLeaving
