Route requests on the users' platform through one node beside each backend server

Cause: the node spoke only its own interface, so on the platform callers got 400 and nobody was served. Membership, net/rpc, placing, decision log and metrics are the existing ones. The relay has its own connection with keep-alive, reads over foreign answers and takes answers without a length.

--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -31,6 +31,7 @@
 // Commands is the command line.
 type Commands struct {
 	Node     NodeCommand     `cmd:"" help:"Run the node beside a backend server."`
+	Sidecar  SidecarCommand  `cmd:"" help:"Run the node beside a backend server on the users' platform, with its settings file."`
 	Demo     DemoCommand     `cmd:"" help:"Run one of the examples in this process, with a surge, and show what became of it."`
 	Explain  ExplainCommand  `cmd:"" help:"Show the decisions about an operation or a root request."`
 	Settings SettingsCommand `cmd:"" help:"Show and edit the settings tree over a node's operators' listener."`
--- /dev/null
+++ b/internal/demand/demand.go
@@ -0,0 +1,226 @@
+package demand
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/pistachiotack/pistachiotack/internal/kernel"
+	"github.com/pistachiotack/pistachiotack/internal/wire"
+	"github.com/pistachiotack/pistachiotack/pkg/fanout"
+	"github.com/pistachiotack/pistachiotack/pkg/shed"
+)
+
+// Name is the name of the service.
+const Name = "demand"
+
+const (
+	// observeInterval is the time between two looks at the own backend server's load.
+	observeInterval = 50 * time.Millisecond
+	// learnInterval is the length of the windows in which calls are related to executions.
+	learnInterval = 250 * time.Millisecond
+	// faultMemory is how long a failed call of the backend server may explain a failed answer of its own.
+	faultMemory = time.Second
+)
+
+// Loader tells how full the own backend server is.
+type Loader interface {
+	// Load returns the calls that run or wait per slot.
+	Load() float64
+}
+
+// Demand is the kernel service.
+type Demand struct {
+	service string
+	loader  Loader
+	cancel  context.CancelFunc
+	ended   chan struct{}
+
+	mu       sync.Mutex
+	learner  *fanout.Learner
+	trees    *fanout.Trees
+	board    *shed.Board
+	own      *shed.Controller
+	callers  map[string]*fanout.Callers
+	origins  map[string]fanout.Origin
+	callees  map[string]string
+	failedAt time.Time
+}
+
+// New returns the service for a node beside a backend server of the service.
+func New(service string) *Demand {
+	return &Demand{
+		service: service,
+		ended:   make(chan struct{}),
+		learner: fanout.NewLearner(),
+		trees:   fanout.NewTrees(),
+		board:   shed.NewBoard(),
+		own:     shed.NewController(time.Now()),
+		callers: map[string]*fanout.Callers{},
+		origins: map[string]fanout.Origin{},
+		callees: map[string]string{},
+	}
+}
+
+// String returns the name of the service.
+func (d *Demand) String() string {
+	return Name
+}
+
+// Start begins to follow the load of the own backend server.
+func (d *Demand) Start(ctx context.Context, k *kernel.Kernel) (<-chan error, error) {
+	var err error
+	if d.loader, err = kernel.Find[Loader](k, "guard"); err != nil {
+		return nil, err
+	}
+	ctx, d.cancel = context.WithCancel(ctx)
+	done := make(chan error, 1)
+	go d.run(ctx, done)
+
+	return done, nil
+}
+
+// Stop ends the following.
+func (d *Demand) Stop(context.Context) error {
+	d.cancel()
+	<-d.ended
+
+	return nil
+}
+
+func (d *Demand) run(ctx context.Context, done chan<- error) {
+	defer close(d.ended)
+	observe, learn := time.NewTicker(observeInterval), time.NewTicker(learnInterval)
+	defer observe.Stop()
+	defer learn.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			done <- nil
+
+			return
+		case now := <-observe.C:
+			d.observe(now, d.loader.Load())
+		case <-learn.C:
+			d.closeWindow()
+		}
+	}
+}
+
+func (d *Demand) observe(now time.Time, load float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.own.Observe(now, load)
+}
+
+func (d *Demand) closeWindow() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.learner.Close()
+}
+
+// Executed counts a call that runs on the own backend server and returns where the calls on its route come from.
+func (d *Demand) Executed(hop wire.Hop, services int) fanout.Origin {
+	key := hop.Key()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.learner.Executed(key)
+	callers := d.callers[key]
+	if callers == nil {
+		callers = fanout.NewCallers()
+		d.callers[key] = callers
+	}
+	callers.Note(hop.Caller)
+
+	return callers.Origin(services)
+}
+
+// Sent counts a request that began on this VM and returns where requests on its route come from.
+func (d *Demand) Sent(route, service string) fanout.Origin {
+	key := wire.RouteKey(route, service)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	origin := d.origins[key]
+	if origin == fanout.OriginServers {
+		d.learner.Called(key)
+		d.callees[key] = service
+	}
+
+	return origin
+}
+
+// Learn takes the report on an answer.
+func (d *Demand) Learn(now time.Time, hop wire.Hop, report wire.Report) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	key := hop.Key()
+	if report.Origin != fanout.OriginUnknown {
+		d.origins[key] = report.Origin
+	}
+	for _, level := range report.Levels {
+		d.board.Observe(now, level.Service, level.Value)
+	}
+	if report.Slots > 0 {
+		d.trees.Learn(key, report.Needs)
+	}
+}
+
+// Failed notes that a call of the own backend server had no good answer.
+func (d *Demand) Failed(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.failedAt = now
+}
+
+// Explains reports whether a failed answer may be due to the calls that the backend server made.
+func (d *Demand) Explains(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	return now.Sub(d.failedAt) < faultMemory
+}
+
+// Decide says whether the call tree of a request has room, with the services that it needs.
+func (d *Demand) Decide(now time.Time, route, service string, demand shed.Demand) shed.Decision {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	demand.Services = append(demand.Services, service)
+	for _, need := range d.trees.Needs(wire.RouteKey(route, service)) {
+		demand.Services = append(demand.Services, need.Service)
+	}
+
+	return d.board.Decide(now, demand)
+}
+
+// Costs returns the calls to each service that one more attempt on the route causes.
+func (d *Demand) Costs(route, service string) map[string]float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	costs := map[string]float64{service: 1}
+	for _, need := range d.trees.Needs(wire.RouteKey(route, service)) {
+		costs[need.Service] += need.Calls
+	}
+
+	return costs
+}
+
+// Describe completes the report of the own node for a route.
+func (d *Demand) Describe(now time.Time, route string, report wire.Report) wire.Report {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var callees []fanout.Callee
+	for called, calls := range d.learner.Callees(route) {
+		callees = append(callees, fanout.Callee{Route: called, Service: d.callees[called], Calls: calls})
+	}
+	report.Needs = d.trees.Sum(callees)
+	report.Levels = append(report.Levels, shed.Level{Service: d.service, Value: d.own.Level()})
+	below := make([]string, 0, len(report.Needs))
+	for _, need := range report.Needs {
+		if need.Service != d.service {
+			below = append(below, need.Service)
+		}
+	}
+	report.Levels = append(report.Levels, d.board.Known(now, below)...)
+
+	return report
+}
--- /dev/null
+++ b/internal/front/run.go
@@ -0,0 +1,199 @@
+package front
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/pistachiotack/pistachiotack/internal/relay"
+	"github.com/pistachiotack/pistachiotack/internal/trace"
+	"github.com/pistachiotack/pistachiotack/internal/wire"
+	"github.com/pistachiotack/pistachiotack/pkg/call"
+	"github.com/pistachiotack/pistachiotack/pkg/member"
+	"github.com/pistachiotack/pistachiotack/pkg/route"
+	"github.com/pistachiotack/pistachiotack/pkg/routes"
+)
+
+// movesMost is the number of nodes that one request asks at most, those that turn it away included.
+const movesMost = 5
+
+// run makes attempts until one brings an answer or there is a reason to give up.
+func (r *request) run(c context.Context) *call.Refusal {
+	var before *call.Refusal
+	for {
+		r.attempt++
+		answer := &relay.Answer{}
+		refusal, again := r.try(c, answer)
+		if refusal == nil {
+			if again && r.retries(c, call.NewRefusal(call.OutcomeRan, call.ReasonBackendFault)) {
+				answer.Close()
+
+				continue
+			}
+			r.pass(answer)
+
+			return nil
+		}
+		answer.Close()
+		if before != nil && refusal.Reason == call.ReasonNoTarget {
+			return r.honest(before)
+		}
+		before = refusal
+		if !r.retries(c, refusal) {
+			return r.honest(refusal)
+		}
+	}
+}
+
+// honest keeps a refusal from saying notRun when an earlier attempt may have been run.
+func (r *request) honest(refusal *call.Refusal) *call.Refusal {
+	if r.sent > 0 && refusal.Outcome == call.OutcomeNotRun {
+		changed := *refusal
+		changed.Outcome = call.OutcomeUnknown
+
+		return &changed
+	}
+
+	return refusal
+}
+
+// retries decides whether a failed attempt is followed by another one.
+func (r *request) retries(c context.Context, failure *call.Refusal) bool {
+	if c.Err() != nil || r.attempt >= movesMost {
+		return false
+	}
+	if failure.Outcome == call.OutcomeNotRun && failure.Reason != call.ReasonBackendShed {
+		return movable(failure.Reason)
+	}
+	if failure.Outcome != call.OutcomeNotRun && r.route.Repeat != routes.RepeatFree {
+		return false
+	}
+	if r.sent >= r.route.Attempts {
+		return false
+	}
+
+	return r.front.takeRepeat(r.route.Name, r.service)
+}
+
+// movable reports whether another node may take a request that one has turned away.
+func movable(reason call.Reason) bool {
+	switch reason {
+	case call.ReasonDeadline, call.ReasonHopeless, call.ReasonCancelled, call.ReasonNoTarget, call.ReasonBadRequest:
+		return false
+	}
+
+	return true
+}
+
+// try makes one attempt; again says that the answer blames its backend server alone.
+func (r *request) try(c context.Context, answer *relay.Answer) (refusal *call.Refusal, again bool) {
+	members := r.front.members.Members(r.service)
+	choice, refused := r.front.placer.choose(time.Now(), r.service, members, r.tried)
+	if refused != nil {
+		return refused, false
+	}
+	chosen := choice.Entry
+	r.tried = append(r.tried, chosen.ID)
+	report, known := r.send(c, chosen, answer)
+	r.learn(chosen, report, known)
+	r.decide(trace.StepRoute, chosen.ID, report.Outcome, report.Reason, r.placed(choice))
+	if report.Outcome != call.OutcomeNotRun {
+		r.sent++
+	}
+	if report.Outcome == call.OutcomeRan {
+		return nil, report.OwnFault && answer.Response.StatusCode() >= statusFault
+	}
+
+	return call.NewRefusal(report.Outcome, report.Reason), false
+}
+
+func (r *request) placed(choice route.Choice) string {
+	return string(choice.Reason) + " of " + strconv.Itoa(choice.Candidates) + ", cost " + decimal(choice.Cost) + "; " + r.detail
+}
+
+// send carries the request to the node; known says that the report is the node's own word.
+func (r *request) send(c context.Context, chosen member.Entry, answer *relay.Answer) (report wire.Report, known bool) {
+	hop := r.hop()
+	if chosen.ID == r.front.options.Node {
+		return r.front.runner.Run(c, hop, &r.http.Request, answer), true
+	}
+	out := wire.Onward(&r.http.Request)
+	wire.SetHop(&out.Header, hop)
+	err := r.front.client.Do(c, chosen.Peers, out, answer, relay.Limits{Body: maxAnswer, Dial: peerDial})
+	if err != nil {
+		return faulty(err), false
+	}
+	report, known = wire.ParseReport(&answer.Response.Header)
+	if !known {
+		return wire.Report{Outcome: call.OutcomeUnknown, Reason: call.ReasonTorn}, false
+	}
+
+	return report, true
+}
+
+func (r *request) hop() wire.Hop {
+	return wire.Hop{
+		Route:     r.route.Name,
+		Service:   r.service,
+		Caller:    r.front.options.Service,
+		Remaining: time.Until(r.expires),
+		Rank:      r.rank(),
+		Once:      r.route.Repeat != routes.RepeatFree,
+		Attempt:   r.attempt,
+		Revision:  r.table.Version(),
+	}
+}
+
+// faulty reports an attempt without an answer of the node; only one that never had a connection is certain not to have run.
+func faulty(err error) wire.Report {
+	var fault *relay.Fault
+	if !errors.As(err, &fault) {
+		return wire.Report{Outcome: call.OutcomeUnknown, Reason: call.ReasonBroken}
+	}
+	report := wire.Report{Outcome: call.OutcomeUnknown, Reason: fault.Reason}
+	if fault.Stage == relay.StageDial {
+		report.Outcome = call.OutcomeNotRun
+	}
+
+	return report
+}
+
+// learn takes what an attempt tells of its node and of the fleet.
+func (r *request) learn(chosen member.Entry, report wire.Report, known bool) {
+	now := time.Now()
+	var told *wire.Report
+	if known {
+		told = &report
+		r.front.demand.Learn(now, r.hop(), report)
+		r.front.rules.Heard(report.Revision, chosen.Control)
+	}
+	verdict := route.Judge(report.Outcome, report.Reason)
+	switch {
+	case report.Outcome == call.OutcomeRan && report.Reason == call.ReasonBackendFault && !report.OwnFault:
+		verdict = route.VerdictNeutral
+	case report.Reason == call.ReasonUnknownService:
+		verdict = route.VerdictLeaving
+	}
+	if r.front.placer.done(now, r.service, chosen, verdict, told) {
+		r.decide(trace.StepEject, chosen.ID, report.Outcome, report.Reason, "")
+	}
+}
+
+// countRequest earns the service's part of the allowance of repeats.
+func (f *Front) countRequest(now time.Time, service string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.quota.SetNodes(len(f.members.All()))
+	f.quota.Request(now, service)
+}
+
+// takeRepeat spends what a repeat costs at all services of its call tree.
+func (f *Front) takeRepeat(name, service string) bool {
+	costs := f.demand.Costs(name, service)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	return f.quota.Take(time.Now(), costs)
+}
--- a/internal/gossip/loop.go
+++ b/internal/gossip/loop.go
@@ -8,7 +8,6 @@
 
 	"github.com/pistachiotack/pistachiotack/internal/kernel"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
-	"github.com/pistachiotack/pistachiotack/pkg/tree"
 )
 
 const (
@@ -49,16 +48,16 @@
 
 // followRevision lets messages mention the settings revision that is in force at this node.
 func (g *Gossip) followRevision() {
-	held, err := kernel.Find[snapshots](g.kernel, "holder")
+	held, err := kernel.Find[revisions](g.kernel, "holder")
 	if err != nil {
 		return
 	}
-	g.SetRevision(held.Snapshot().Revision())
+	g.SetRevision(held.Revision())
 }
 
-// snapshots is what gossip asks of the holder.
-type snapshots interface {
-	Snapshot() *tree.Snapshot
+// revisions is what gossip asks of the holder.
+type revisions interface {
+	Revision() uint64
 }
 
 // step applies one event to the fleet, renews the view and logs what was concluded.
--- /dev/null
+++ b/internal/guard/handle.go
@@ -0,0 +1,35 @@
+package guard
+
+import (
+	"context"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"github.com/pistachiotack/pistachiotack/internal/relay"
+	"github.com/pistachiotack/pistachiotack/internal/wire"
+	"github.com/pistachiotack/pistachiotack/pkg/call"
+)
+
+const (
+	statusBadRequest  = 400
+	statusUnavailable = 503
+)
+
+// handle serves one call from another node.
+func (g *Guard) handle(c context.Context, ctx *app.RequestContext) {
+	hop, err := wire.ParseHop(&ctx.Request.Header)
+	if err != nil {
+		ctx.Response.SetStatusCode(statusBadRequest)
+		ctx.Response.SetBodyString(err.Error())
+
+		return
+	}
+	answer := &relay.Answer{}
+	report := g.Run(c, hop, &ctx.Request, answer)
+	if report.Outcome == call.OutcomeRan {
+		wire.PassBack(&ctx.Response, &answer.Response)
+	} else {
+		ctx.Response.SetStatusCode(statusUnavailable)
+	}
+	wire.SetReport(&ctx.Response.Header, report)
+}
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -225,6 +225,11 @@
 	return h.active.Load()
 }
 
+// Revision returns the number of the revision in force.
+func (h *Holder) Revision() uint64 {
+	return h.Snapshot().Revision()
+}
+
 // Record returns the accepted revision that this node holds.
 func (h *Holder) Record() Record {
 	return h.Current().Record()
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -41,6 +41,8 @@
 type Options struct {
 	// MaxBody is the largest request body in bytes.
 	MaxBody int
+	// Idle is how long a connection may stay unused, zero for the default.
+	Idle time.Duration
 	// Routes registers handlers for paths of their own, nil for the one handler alone.
 	Routes func(*server.Hertz)
 }
@@ -51,13 +53,17 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", address)
 	}
+	idle := idleTimeout
+	if options.Idle > 0 {
+		idle = options.Idle
+	}
 	s := &Server{listener: newGate(listener), done: make(chan error, 1)}
 	s.hertz = server.New(
 		server.WithListener(s.listener),
 		server.WithTransport(standard.NewTransporter),
 		server.WithSenseClientDisconnection(true),
 		server.WithMaxRequestBodySize(options.MaxBody),
-		server.WithIdleTimeout(idleTimeout),
+		server.WithIdleTimeout(idle),
 		server.WithReadTimeout(readTimeout),
 		server.WithRedirectTrailingSlash(false),
 		server.WithDisablePreParseMultipartForm(true),
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/req"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
@@ -20,6 +19,8 @@
 	errNoLength  = errors.New("answer states no length")
 	errNoTime    = errors.New("no time left")
 	errLeftovers = errors.New("bytes after the end of the answer")
+	errTooLong   = errors.New("answer is longer than allowed")
+	errForeign   = errors.New("answer belongs to another request")
 )
 
 // Times after which an idle connection is not used again, each shorter than what its server waits.
@@ -58,8 +59,17 @@
 	// Waiting is called each time Progress has passed without an answer, and may end the attempt.
 	Progress time.Duration
 	Waiting  func() error
+	// Dial bounds the time for a new connection, zero for the default.
+	Dial time.Duration
+	// Unframed takes an answer without a length, which is whole if its connection ends cleanly.
+	Unframed bool
+	// Own reports whether an answer belongs to the request, nil if all do; others are read over.
+	Own func(header *protocol.ResponseHeader) bool
 }
 
+// foreignMost bounds how many answers to other requests one attempt reads over.
+const foreignMost = 3
+
 // Do makes one attempt within the context's deadline; a *Fault says how far a failed one came.
 func (c *Client) Do(ctx context.Context, address string, request *protocol.Request, answer *Answer, limits Limits) error {
 	deadline, ok := ctx.Deadline()
@@ -138,9 +148,11 @@
 	limits     Limits
 	answer     *Answer
 	deadline   time.Time
-	conn       network.Conn
+	conn       *conn
 	generation uint64
 	cancelled  func() bool
+	// foreign says that an answer to another request came on the connection.
+	foreign bool
 }
 
 func (a *attempt) open(now time.Time) error {
@@ -149,7 +161,11 @@
 		return nil
 	}
 	var err error
-	if a.conn, err = a.pool.dial(a.deadline.Sub(now)); err != nil {
+	timeout := dialTimeout
+	if a.limits.Dial > 0 {
+		timeout = a.limits.Dial
+	}
+	if a.conn, err = dialConn(a.pool.address, min(timeout, a.deadline.Sub(now))); err != nil {
 		return &Fault{Stage: StageDial, Reason: call.ReasonConnect, Cause: err}
 	}
 
@@ -169,8 +185,8 @@
 	if err := a.wait(); err != nil {
 		return a.fail(ctx, StageWait, waitReason(err), err)
 	}
-	if err := resp.ReadHeaders(&a.answer.Response, a.conn); err != nil {
-		return a.fail(ctx, StageWait, call.ReasonBroken, err)
+	if err := a.head(); err != nil {
+		return a.fail(ctx, StageWait, waitReason(err), err)
 	}
 	if err := a.body(ctx); err != nil {
 		return a.fail(ctx, StageBody, bodyReason(err), err)
@@ -179,6 +195,32 @@
 	return nil
 }
 
+// head reads the header of the answer, and reads over answers that belong to other requests.
+func (a *attempt) head() error {
+	response := &a.answer.Response
+	for range foreignMost {
+		if err := resp.ReadHeaders(response, a.conn); err != nil {
+			return err
+		}
+		if a.limits.Own == nil || a.limits.Own(&response.Header) {
+			return nil
+		}
+		if response.Header.ContentLength() == identityLength && !response.MustSkipBody() {
+			return errForeign
+		}
+		if err := resp.ReadRespBody(response, a.conn, a.limits.Body); err != nil {
+			return err
+		}
+		a.foreign = true
+		response.Reset()
+		if err := a.wait(); err != nil {
+			return err
+		}
+	}
+
+	return errForeign
+}
+
 func (a *attempt) send(request *protocol.Request) error {
 	if err := a.conn.SetWriteDeadline(a.deadline); err != nil {
 		return err
@@ -218,7 +260,7 @@
 func (a *attempt) body(ctx context.Context) error {
 	response := &a.answer.Response
 	if response.Header.ContentLength() == identityLength && !response.MustSkipBody() {
-		return errNoLength
+		return a.bodyToEnd()
 	}
 	if a.limits.Stream && successful(response.StatusCode()) {
 		return a.stream(ctx)
@@ -229,7 +271,22 @@
 	if a.conn.Len() > 0 {
 		return errLeftovers
 	}
-	a.release(!response.ConnectionClose())
+	a.release(!a.foreign && !response.ConnectionClose())
+
+	return nil
+}
+
+// bodyToEnd reads a body that is delimited by the end of its connection.
+func (a *attempt) bodyToEnd() error {
+	if !a.limits.Unframed {
+		return errNoLength
+	}
+	body, err := a.conn.readToEnd(a.limits.Body)
+	if err != nil {
+		return err
+	}
+	a.answer.Response.SetBodyRaw(body)
+	a.release(false)
 
 	return nil
 }
--- a/internal/relay/pool.go
+++ b/internal/relay/pool.go
@@ -3,19 +3,16 @@
 import (
 	"sync"
 	"time"
-
-	"github.com/cloudwego/hertz/pkg/network"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 )
 
 const (
 	dialTimeout = time.Second
 	// maxIdle bounds the idle connections to one address.
-	maxIdle = 64
+	maxIdle = 256
 )
 
 type idleConn struct {
-	conn  network.Conn
+	conn  *conn
 	since time.Time
 }
 
@@ -31,23 +28,25 @@
 }
 
 // get returns an idle connection if there is one that is young enough, and the pool's generation.
-func (p *pool) get(now time.Time) (network.Conn, uint64) {
+func (p *pool) get(now time.Time) (*conn, uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
 	p.closeOlder(now)
-	last := len(p.idle) - 1
-	if last < 0 {
-		return nil, p.generation
+	for last := len(p.idle) - 1; last >= 0; last-- {
+		newest := p.idle[last].conn
+		p.idle = p.idle[:last]
+		if newest.clean() {
+			return newest, p.generation
+		}
+		_ = newest.Close()
 	}
-	newest := p.idle[last]
-	p.idle = p.idle[:last]
 
-	return newest.conn, p.generation
+	return nil, p.generation
 }
 
 // put takes a connection back unless the pool was dropped since it was handed out.
-func (p *pool) put(conn network.Conn, generation uint64, now time.Time) {
+func (p *pool) put(conn *conn, generation uint64, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
@@ -97,8 +96,3 @@
 	}
 	p.idle = append(p.idle[:0], p.idle[count:]...)
 }
-
-// dial opens a new connection within the time given.
-func (p *pool) dial(timeout time.Duration) (network.Conn, error) {
-	return standard.NewDialer().DialConnection("tcp", p.address, min(timeout, dialTimeout), nil)
-}
--- a/internal/wire/header.go
+++ b/internal/wire/header.go
@@ -47,6 +47,11 @@
 	"Expect":              true,
 }
 
+// EndToEnd reports whether a header, in its canonical form, concerns more than one connection.
+func EndToEnd(name string) bool {
+	return !hopByHop[name]
+}
+
 // Forwarded reports whether a header, in its canonical form, is passed on unchanged.
 func Forwarded(name string) bool {
 	return !hopByHop[name] && !strings.HasPrefix(name, Prefix)
--- /dev/null
+++ b/pkg/fanout/needs.go
@@ -0,0 +1,68 @@
+package fanout
+
+import (
+	"cmp"
+	"slices"
+)
+
+const (
+	// needsMost bounds the services that one call tree is said to reach; those with the fewest calls are left out.
+	needsMost = 8
+	// needLeast is the number of calls per execution below which a service is left out.
+	needLeast = 0.05
+)
+
+// Need is how many calls to a service one execution causes in its whole call tree.
+type Need struct {
+	Service string
+	Calls   float64
+}
+
+// Trees holds what is known of the call trees of routes; its owner serialises calls.
+type Trees struct {
+	needs map[string][]Need
+}
+
+// NewTrees returns a store without any tree.
+func NewTrees() *Trees {
+	return &Trees{needs: map[string][]Need{}}
+}
+
+// Learn takes what an executing node tells of a route.
+func (t *Trees) Learn(route string, needs []Need) {
+	t.needs[route] = needs
+}
+
+// Needs returns what an execution of the route needs below it, nil if unknown or nothing.
+func (t *Trees) Needs(route string) []Need {
+	return t.needs[route]
+}
+
+// Callee is a route that an execution calls.
+type Callee struct {
+	Route   string
+	Service string
+	Calls   float64
+}
+
+// Sum adds up what the callees and their own call trees need.
+func (t *Trees) Sum(callees []Callee) []Need {
+	sums := map[string]float64{}
+	for _, callee := range callees {
+		sums[callee.Service] += callee.Calls
+		for _, need := range t.needs[callee.Route] {
+			sums[need.Service] += callee.Calls * need.Calls
+		}
+	}
+	found := make([]Need, 0, len(sums))
+	for service, calls := range sums {
+		if calls >= needLeast {
+			found = append(found, Need{Service: service, Calls: calls})
+		}
+	}
+	slices.SortFunc(found, func(a, b Need) int {
+		return cmp.Or(cmp.Compare(b.Calls, a.Calls), cmp.Compare(a.Service, b.Service))
+	})
+
+	return found[:min(len(found), needsMost)]
+}
--- /dev/null
+++ b/pkg/queue/queue.go
@@ -0,0 +1,162 @@
+package queue
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/pistachiotack/pistachiotack/pkg/call"
+)
+
+// Item is one call that asks for a slot.
+type Item struct {
+	// Rank orders the calls, the lowest goes first.
+	Rank int
+	// Expires is when an answer is of no more use.
+	Expires time.Time
+}
+
+// Ticket is an item on its way through the queue; the zero value is not usable.
+type Ticket struct {
+	item    Item
+	number  uint64
+	arrived time.Time
+	decided chan call.Reason
+}
+
+// Decided receives ReasonOK once the call may run, or the reason of its refusal; it receives exactly once.
+func (t *Ticket) Decided() <-chan call.Reason {
+	return t.decided
+}
+
+// Limits bound the queue.
+type Limits struct {
+	// Slots is the number of calls that run at once.
+	Slots int
+	// Waiting is the number of calls that wait at most.
+	Waiting int
+	// Wait is the longest time that a call waits.
+	Wait time.Duration
+	// Least is the time that a call must have left to be worth running.
+	Least time.Duration
+}
+
+// Load is the state of a queue at one moment.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int
+}
+
+// Queue holds the calls of one backend server; its owner serialises calls.
+type Queue struct {
+	limits  Limits
+	running int
+	number  uint64
+	waiting []*Ticket
+}
+
+// New returns an empty queue.
+func New(limits Limits) *Queue {
+	return &Queue{limits: limits}
+}
+
+// SetLimits takes new limits, under which calls that wait may begin.
+func (q *Queue) SetLimits(now time.Time, limits Limits) {
+	q.limits = limits
+	q.advance(now)
+}
+
+// Load returns how many calls run and wait.
+func (q *Queue) Load() Load {
+	return Load{Running: q.running, Waiting: len(q.waiting), Slots: q.limits.Slots}
+}
+
+// Offer takes a call in; the ticket may be decided at once.
+func (q *Queue) Offer(now time.Time, item Item) *Ticket {
+	q.number++
+	t := &Ticket{item: item, number: q.number, arrived: now, decided: make(chan call.Reason, 1)}
+	switch {
+	case item.Expires.Sub(now) < q.limits.Least:
+		t.decided <- call.ReasonHopeless
+	case q.running < q.limits.Slots && len(q.waiting) == 0:
+		q.start(t)
+	default:
+		q.enqueue(t)
+		q.advance(now)
+	}
+
+	return t
+}
+
+// Release gives the slot of a call that ran back.
+func (q *Queue) Release(now time.Time) {
+	q.running--
+	q.advance(now)
+}
+
+// Abandon takes a call out whose caller has left, and reports whether it still waited.
+func (q *Queue) Abandon(t *Ticket) bool {
+	place := slices.Index(q.waiting, t)
+	if place < 0 {
+		return false
+	}
+	q.waiting = slices.Delete(q.waiting, place, place+1)
+
+	return true
+}
+
+// Tick refuses the calls that have waited too long.
+func (q *Queue) Tick(now time.Time) {
+	q.advance(now)
+}
+
+// Drop refuses all calls that wait.
+func (q *Queue) Drop(reason call.Reason) {
+	for _, t := range q.waiting {
+		t.decided <- reason
+	}
+	q.waiting = q.waiting[:0]
+}
+
+func (q *Queue) start(t *Ticket) {
+	q.running++
+	t.decided <- call.ReasonOK
+}
+
+// enqueue keeps the order; a full queue refuses its last call.
+func (q *Queue) enqueue(t *Ticket) {
+	place, _ := slices.BinarySearchFunc(q.waiting, t, compare)
+	q.waiting = slices.Insert(q.waiting, place, t)
+	if len(q.waiting) <= q.limits.Waiting {
+		return
+	}
+	last := len(q.waiting) - 1
+	q.waiting[last].decided <- call.ReasonQueueFull
+	q.waiting = q.waiting[:last]
+}
+
+func compare(a, b *Ticket) int {
+	return cmp.Or(cmp.Compare(a.item.Rank, b.item.Rank), cmp.Compare(a.number, b.number))
+}
+
+// advance refuses what has waited too long, then fills the free slots.
+func (q *Queue) advance(now time.Time) {
+	q.waiting = slices.DeleteFunc(q.waiting, func(t *Ticket) bool {
+		switch {
+		case t.item.Expires.Sub(now) < q.limits.Least:
+			t.decided <- call.ReasonHopeless
+		case now.Sub(t.arrived) > q.limits.Wait:
+			t.decided <- call.ReasonQueueTimeout
+		default:
+			return false
+		}
+
+		return true
+	})
+	for q.running < q.limits.Slots && len(q.waiting) > 0 {
+		next := q.waiting[0]
+		q.waiting = slices.Delete(q.waiting, 0, 1)
+		q.start(next)
+	}
+}
--- /dev/null
+++ b/pkg/shed/board.go
@@ -0,0 +1,83 @@
+package shed
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// levelMemory is the time constant with which reports of one service replace each other.
+	levelMemory = 300 * time.Millisecond
+	// levelAge is how long a level holds without a report, before it opens again.
+	levelAge = 2 * time.Second
+	// openRate is how fast a level without reports opens, per second.
+	openRate = 0.5
+)
+
+// Level is the admission level of a service as one node believes it.
+type Level struct {
+	Service string
+	Value   float64
+}
+
+// Board holds the levels of the services that a node has heard of; its owner serialises calls.
+type Board struct {
+	levels map[string]*report
+}
+
+type report struct {
+	value float64
+	at    time.Time
+}
+
+// NewBoard returns an empty board, on which every service admits everything.
+func NewBoard() *Board {
+	return &Board{levels: map[string]*report{}}
+}
+
+// Observe takes a report about a service, its own or one passed on.
+func (b *Board) Observe(now time.Time, service string, level float64) {
+	known := b.levels[service]
+	if known == nil {
+		b.levels[service] = &report{value: level, at: now}
+
+		return
+	}
+	passed := now.Sub(known.at)
+	if passed < 0 {
+		passed = 0
+	}
+	// a report counts for at least a little, so that many at one moment are averaged
+	share := max(1-math.Exp(-float64(passed)/float64(levelMemory)), reportShare)
+	known.value += share * (level - known.value)
+	known.at = now
+}
+
+// reportShare is the least weight of a new report.
+const reportShare = 0.05
+
+// Level returns the level of a service, 1 if nothing is known of it.
+func (b *Board) Level(now time.Time, service string) float64 {
+	known := b.levels[service]
+	if known == nil {
+		return 1
+	}
+	age := now.Sub(known.at)
+	if age <= levelAge {
+		return known.value
+	}
+
+	return min(known.value+openRate*(age-levelAge).Seconds(), 1)
+}
+
+// Known returns the levels of the services named of which there were reports.
+func (b *Board) Known(now time.Time, services []string) []Level {
+	var found []Level
+	for _, service := range services {
+		if b.levels[service] != nil {
+			found = append(found, Level{Service: service, Value: b.Level(now, service)})
+		}
+	}
+
+	return found
+}
