--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -18,7 +18,7 @@
 	// observeInterval is the time between two looks at the own backend server's load.
 	observeInterval = 50 * time.Millisecond
 	// learnInterval is the length of the windows in which calls are related to executions.
-	learnInterval = 250 * time.Millisecond
+	learnInterval = 500 * time.Millisecond
 	// faultMemory is how long a failed call of the backend server may explain a failed answer of its own.
 	faultMemory = time.Second
 )
@@ -40,6 +40,7 @@
 	learner  *fanout.Learner
 	trees    *fanout.Trees
 	board    *shed.Board
+	beliefs  *shed.Board
 	own      *shed.Controller
 	callers  map[string]*fanout.Callers
 	origins  map[string]fanout.Origin
@@ -55,6 +56,7 @@
 		learner: fanout.NewLearner(),
 		trees:   fanout.NewTrees(),
 		board:   shed.NewBoard(),
+		beliefs: shed.NewBoard(),
 		own:     shed.NewController(time.Now()),
 		callers: map[string]*fanout.Callers{},
 		origins: map[string]fanout.Origin{},
@@ -131,6 +133,9 @@
 		d.callers[key] = callers
 	}
 	callers.Note(hop.Caller)
+	if hop.Belief >= 0 {
+		d.own.Heed(time.Now(), hop.Belief)
+	}
 
 	return callers.Origin(services)
 }
@@ -161,6 +166,7 @@
 		d.board.Observe(now, level.Service, level.Value)
 	}
 	if report.Slots > 0 {
+		d.beliefs.Observe(now, hop.Service, report.Belief)
 		d.trees.Learn(key, report.Needs)
 	}
 }
@@ -192,6 +198,17 @@
 	return d.board.Decide(now, demand)
 }
 
+// Belief returns the admission level of a service as this node believes it, negative if it knows none.
+func (d *Demand) Belief(now time.Time, service string) float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if known := d.beliefs.Known(now, []string{service}); len(known) > 0 {
+		return known[0].Value
+	}
+
+	return -1
+}
+
 // Costs returns the calls to each service that one more attempt on the route causes.
 func (d *Demand) Costs(route, service string) map[string]float64 {
 	d.mu.Lock()
@@ -213,6 +230,7 @@
 		callees = append(callees, fanout.Callee{Route: called, Service: d.callees[called], Calls: calls})
 	}
 	report.Needs = d.trees.Sum(callees)
+	report.Belief = d.own.Belief()
 	report.Levels = append(report.Levels, shed.Level{Service: d.service, Value: d.own.Level()})
 	below := make([]string, 0, len(report.Needs))
 	for _, need := range report.Needs {
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -58,6 +58,7 @@
 	Learn(now time.Time, hop wire.Hop, report wire.Report)
 	Failed(now time.Time)
 	Decide(now time.Time, route, service string, demand shed.Demand) shed.Decision
+	Belief(now time.Time, service string) float64
 	Costs(route, service string) map[string]float64
 }
 
@@ -108,9 +109,11 @@
 	placer   *placer
 	splitter *routes.Splitter
 	active   atomic.Int64
+	refusing atomic.Bool
 
 	mu    sync.Mutex
 	quota *quota.Quota
+	usual *usual
 }
 
 // New returns a service that still has to be started.
@@ -124,6 +127,7 @@
 		placer:   newPlacer(options.Node, options.DataCentre, options.Seed),
 		splitter: routes.NewSplitter(),
 		quota:    quota.New(options.Quota),
+		usual:    newUsual(),
 	}
 }
 
@@ -189,6 +193,11 @@
 	f.server.Leave()
 }
 
+// Refuse turns away all requests from now on; those that have begun go on.
+func (f *Front) Refuse() {
+	f.refusing.Store(true)
+}
+
 // Active returns the number of requests without an answer.
 func (f *Front) Active() int64 {
 	return f.active.Load()
--- a/internal/front/handle.go
+++ b/internal/front/handle.go
@@ -31,9 +31,11 @@
 	noTimeout = time.Minute
 	// startAfter is when a client may come back to a node that knows no routes yet.
 	startAfter = 500 * time.Millisecond
-	// backShare is the part of its remaining time that a client may be told to wait, and backLeast the least of that.
+	// backShare is the part of its remaining time that a client may be told to wait.
 	backShare = 1.0 / 3
-	backLeast = 0.3
+	// backFirst and backLast are the parts of the time to spare within which refused clients are told to come back.
+	backFirst = 0.25
+	backLast  = 0.75
 	// rankCalls is the queue rank of the calls of backend servers; the requests of clients stand before or behind it.
 	rankCalls = 2
 )
@@ -82,6 +84,9 @@
 // classify finds the route of the request, its service and its time.
 func (r *request) classify() *call.Refusal {
 	header := &r.http.Request.Header
+	if r.front.refusing.Load() {
+		return call.NewRefusal(call.OutcomeNotRun, call.ReasonDraining).WithRetryAfter(startAfter)
+	}
 	if r.table = r.front.rules.Table(); r.table == nil {
 		return call.NewRefusal(call.OutcomeNotRun, call.ReasonWarming).WithRetryAfter(startAfter)
 	}
@@ -127,11 +132,20 @@
 	return call.NewRefusal(call.OutcomeNotRun, decision.Reason).WithRetryAfter(r.comeBack())
 }
 
-// comeBack spreads the returns of refused clients over the time in which they can still be served.
+// comeBack spreads the returns of refused clients over the time in which an answer still reaches them within the route's aim,
+// or within the time that they have if that is too short.
 func (r *request) comeBack() time.Duration {
-	most := backShare * float64(time.Until(r.leaves))
+	most := time.Duration(backShare * float64(time.Until(r.leaves)))
+	if r.route == nil {
+		return max(most, 0)
+	}
+	spare := r.route.Aim - r.front.usualTime(r.route.Name) - time.Since(r.arrived)
+	if spare <= 0 || spare > most {
+		spare = most
+	}
+	part := backFirst + (backLast-backFirst)*rand.Float64()
 
-	return time.Duration(most * (backLeast + (1-backLeast)*rand.Float64()))
+	return max(time.Duration(part*float64(spare)), 0)
 }
 
 // rank orders the request in the queue of an executing node: calls of running work go before the least important requests.
@@ -149,7 +163,9 @@
 // pass gives the answer to the client.
 func (r *request) pass(answer *relay.Answer) {
 	wire.PassBack(&r.http.Response, &answer.Response)
-	r.front.metrics.Tagged(map[string]string{"route": r.route.Name}).Timer("answered").Record(time.Since(r.arrived))
+	took := time.Since(r.arrived)
+	r.front.noteTime(r.route.Name, took)
+	r.front.metrics.Tagged(map[string]string{"route": r.route.Name}).Timer("answered").Record(took)
 }
 
 // refuse gives the client the final answer for a request that brought none.
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -143,6 +143,7 @@
 		Once:      r.route.Repeat != routes.RepeatFree,
 		Attempt:   r.attempt,
 		Revision:  r.table.Version(),
+		Belief:    r.front.demand.Belief(time.Now(), r.service),
 	}
 }
 
--- a/internal/guard/speak.go
+++ b/internal/guard/speak.go
@@ -15,7 +15,7 @@
 	// leastTime is the time that must be left for a call to be worth running.
 	leastTime = 5 * time.Millisecond
 	// queueShare is the length of the queue as a share of the slots.
-	queueShare = 0.5
+	queueShare = 2.0
 	// dialTimeout bounds a new connection to the backend server, which is on the same VM.
 	dialTimeout = 250 * time.Millisecond
 	// dialsMost is the number of failed connections in a row after which the backend server counts as lost.
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -139,9 +140,12 @@
 	var all error
 	for i := len(s.running) - 1; i >= 0; i-- {
 		service := s.running[i].service
+		began := time.Now()
 		if err := service.Stop(ctx); err != nil {
 			all = errors.CombineErrors(all, errors.Wrapf(err, "stop %s", service))
 		}
+		s.kernel.log.LogAttrs(ctx, slog.LevelDebug, "service stopped",
+			slog.String("service", service.String()), slog.Duration("took", time.Since(began)))
 	}
 
 	return all
--- a/internal/routed/node.go
+++ b/internal/routed/node.go
@@ -167,12 +167,13 @@
 	noticeTime = 2500 * time.Millisecond
 	// quietTime is how long no request may have come before the node ends.
 	quietTime = 300 * time.Millisecond
-	// drainShare is the part of the grace time within which running work may end.
-	drainShare = 0.83
-	// drainInterval is the time between looks at what still runs.
+	// refuseShare is the part of the grace time after which new requests are refused, drainShare the one after which running
+	// work is given up, and stopShare the one by which the process has ended.
+	refuseShare = 0.75
+	drainShare  = 0.83
+	stopShare   = 0.92
+	// drainInterval is the time between looks at what still runs, and what the last answers take to go out.
 	drainInterval = 20 * time.Millisecond
-	// stopTimeout bounds the end of the services after the drain.
-	stopTimeout = 500 * time.Millisecond
 )
 
 // Stop takes the node out of the fleet, waits for running work and ends the services.
@@ -183,24 +184,32 @@
 	n.front.Leave()
 	n.log.LogAttrs(ctx, slog.LevelInfo, "node leaves",
 		slog.Int64("requests", n.front.Active()), slog.Int64("executions", n.guard.Active()))
-	n.drain(began)
-	err := n.gossip.SetState(member.StateLeft)
+	n.await(n.after(began, refuseShare), func(quiet time.Duration) bool {
+		return time.Since(began) >= noticeTime && quiet >= quietTime
+	})
+	n.front.Refuse()
+	n.await(n.after(began, drainShare), func(quiet time.Duration) bool { return quiet >= drainInterval })
 	n.log.LogAttrs(ctx, slog.LevelInfo, "node stops", slog.Duration("after", time.Since(began)),
 		slog.Int64("requests", n.front.Active()), slog.Int64("executions", n.guard.Active()))
-	bounded, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+	bounded, cancel := context.WithDeadline(context.WithoutCancel(ctx), n.after(began, stopShare))
 	defer cancel()
 
-	return errors.CombineErrors(err, n.started.Stop(bounded))
+	return errors.CombineErrors(n.gossip.SetState(member.StateLeft), n.started.Stop(bounded))
+}
+
+// after returns the moment at which a part of the grace time has passed.
+func (n *Node) after(began time.Time, share float64) time.Time {
+	return began.Add(time.Duration(share * float64(n.options.Grace)))
 }
 
-// drain returns when the node has been quiet for a while, or at the end of its part of the grace time.
-func (n *Node) drain(began time.Time) {
+// await returns when done accepts the time for which nothing has run, or at the deadline.
+func (n *Node) await(deadline time.Time, done func(quiet time.Duration) bool) {
 	quiet := time.Now()
-	for time.Since(began) < time.Duration(drainShare*float64(n.options.Grace)) {
+	for time.Now().Before(deadline) {
 		if n.front.Active()+n.guard.Active() > 0 {
 			quiet = time.Now()
 		}
-		if time.Since(began) >= noticeTime && time.Since(quiet) >= quietTime {
+		if done(time.Since(quiet)) {
 			return
 		}
 		time.Sleep(drainInterval)
--- a/internal/wire/hop.go
+++ b/internal/wire/hop.go
@@ -27,8 +27,8 @@
 	fieldSeparator = ";"
 	listSeparator  = ","
 	pairSeparator  = "="
-	hopFields      = 8
-	reportFields   = 11
+	hopFields      = 9
+	reportFields   = 12
 )
 
 // Hop is what an entry tells the executing node about a routed request.
@@ -45,6 +45,8 @@
 	Once     bool
 	Attempt  int
 	Revision uint64
+	// Belief is the admission level of the service as the entry believes it, negative for none.
+	Belief float64
 }
 
 // Key names the route at its service.
@@ -68,6 +70,7 @@
 		flag(hop.Once),
 		strconv.Itoa(hop.Attempt),
 		strconv.FormatUint(hop.Revision, 10),
+		decimals(hop.Belief),
 	}, fieldSeparator))
 }
 
@@ -87,6 +90,7 @@
 		Once:      r.number() == 1,
 		Attempt:   int(r.number()),
 		Revision:  uint64(r.number()),
+		Belief:    r.fraction(),
 	}
 
 	return hop, r.err
@@ -105,6 +109,9 @@
 	Origin   fanout.Origin
 	// OwnFault says that a failed answer cannot be put down to the calls that the backend server made.
 	OwnFault bool
+	// Belief is the level of the node's service without its passing part.
+	Belief float64
+	// Levels are those of the node's service and of the services that the route needs.
 	Levels   []shed.Level
 	Needs    []fanout.Need
 }
@@ -129,6 +136,7 @@
 		strconv.FormatUint(report.Revision, 10),
 		strconv.Itoa(int(report.Origin)),
 		flag(report.OwnFault),
+		decimals(report.Belief),
 		strings.Join(levels, listSeparator),
 		strings.Join(needs, listSeparator),
 	}, fieldSeparator))
@@ -151,6 +159,7 @@
 		Revision: uint64(r.number()),
 		Origin:   fanout.Origin(r.number()),
 		OwnFault: r.number() == 1,
+		Belief:   r.fraction(),
 	}
 	r.pairs(func(name string, value float64) {
 		report.Levels = append(report.Levels, shed.Level{Service: name, Value: value})
@@ -170,9 +179,13 @@
 	return "0"
 }
 
-// pair states two decimals, which is finer than any of the figures is known.
+// pair states three decimals, which is finer than any of the figures is known.
 func pair(name string, value float64) string {
-	return url.QueryEscape(name) + pairSeparator + strconv.FormatFloat(value, 'f', 2, 64)
+	return url.QueryEscape(name) + pairSeparator + decimals(value)
+}
+
+func decimals(value float64) string {
+	return strconv.FormatFloat(value, 'f', 3, 64)
 }
 
 // fieldReader takes fields in their order and keeps the first error.
@@ -202,6 +215,13 @@
 	return value
 }
 
+func (r *fieldReader) fraction() float64 {
+	value, err := strconv.ParseFloat(r.next(), 64)
+	r.fail(err)
+
+	return value
+}
+
 func (r *fieldReader) pairs(take func(name string, value float64)) {
 	list := r.next()
 	if list == "" {
--- a/pkg/fanout/learn.go
+++ b/pkg/fanout/learn.go
@@ -1,81 +1,174 @@
 package fanout
 
-import "math"
+import (
+	"math"
+	"slices"
+)
 
 const (
-	// step is the share of the error that one window corrects.
-	step = 0.3
-	// regular keeps the correction of a window with few executions small.
-	regular = 4.0
+	// forgetting is the weight that a window keeps when the next one closes.
+	forgetting = 0.98
+	// doubtFirst is the variance of an estimate of which nothing is known, in calls squared.
+	doubtFirst = 4.0
+	// doubtMost bounds the variance, which would grow without end for routes that are no longer executed.
+	doubtMost = 100.0
 	// callsMost bounds the calls of one kind that an execution is believed to make.
 	callsMost = 64.0
+	// leastCalls is the estimate below which a route counts as not called.
+	leastCalls = 0.3
+	// routesMost bounds the executed routes that are told apart.
+	routesMost = 16
 )
 
 // Learner estimates the calls per execution for each pair of an executed and a called route.
 //
-// It is a normalised least-mean-squares filter: each window gives one equation, calls = sum of executions times calls each.
+// Each window gives one equation for each called route: calls = sum over the executed routes of executions times calls each.
+// Recursive least squares with forgetting solve them, which tells routes apart that are executed at very different rates.
 // Its owner serialises calls.
 type Learner struct {
-	executed map[string]float64
+	routes   []string
+	executed []float64
+	doubt    [][]float64
 	called   map[string]float64
-	weights  map[string]map[string]float64
+	weights  map[string][]float64
 }
 
 // NewLearner returns a learner that knows nothing yet.
 func NewLearner() *Learner {
-	return &Learner{executed: map[string]float64{}, called: map[string]float64{}, weights: map[string]map[string]float64{}}
+	return &Learner{called: map[string]float64{}, weights: map[string][]float64{}}
 }
 
 // Executed counts one execution of a route in the present window.
 func (l *Learner) Executed(route string) {
-	l.executed[route]++
+	place := slices.Index(l.routes, route)
+	if place < 0 {
+		if len(l.routes) >= routesMost {
+			l.reset()
+		}
+		place = l.add(route)
+	}
+	l.executed[place]++
+}
+
+// add makes room for a route of which nothing is known.
+func (l *Learner) add(route string) int {
+	l.routes = append(l.routes, route)
+	l.executed = append(l.executed, 0)
+	size := len(l.routes)
+	for i := range l.doubt {
+		l.doubt[i] = append(l.doubt[i], 0)
+	}
+	l.doubt = append(l.doubt, make([]float64, size))
+	l.doubt[size-1][size-1] = doubtFirst
+	for called := range l.weights {
+		l.weights[called] = append(l.weights[called], 0)
+	}
+
+	return size - 1
+}
+
+// reset forgets everything, as when the operators have replaced many routes.
+func (l *Learner) reset() {
+	l.routes, l.executed, l.doubt = nil, nil, nil
+	clear(l.weights)
+	clear(l.called)
 }
 
 // Called counts one call that the backend server made in the present window.
 func (l *Learner) Called(route string) {
 	l.called[route]++
 	if _, known := l.weights[route]; !known {
-		l.weights[route] = map[string]float64{}
+		l.weights[route] = make([]float64, len(l.routes))
 	}
 }
 
 // Calls returns the estimate of calls of one route per execution of another.
 func (l *Learner) Calls(executed, called string) float64 {
-	return l.weights[called][executed]
+	place := slices.Index(l.routes, executed)
+	weights := l.weights[called]
+	if place < 0 || place >= len(weights) {
+		return 0
+	}
+
+	return min(max(weights[place], 0), callsMost)
 }
 
 // Callees returns the called routes with their estimates for one executed route.
 func (l *Learner) Callees(executed string) map[string]float64 {
 	found := map[string]float64{}
-	for called, weights := range l.weights {
-		if weights[executed] >= leastCalls {
-			found[called] = weights[executed]
+	for called := range l.weights {
+		if calls := l.Calls(executed, called); calls >= leastCalls {
+			found[called] = calls
 		}
 	}
 
 	return found
 }
 
-// leastCalls is the estimate below which a route counts as not called.
-const leastCalls = 0.1
-
 // Close ends the window and learns from it.
 func (l *Learner) Close() {
-	norm := regular
-	for _, count := range l.executed {
-		norm += count * count
-	}
-	for called, weights := range l.weights {
-		expected := 0.0
-		for executed, count := range l.executed {
-			expected += weights[executed] * count
-		}
-		missed := l.called[called] - expected
-		for executed, count := range l.executed {
-			changed := weights[executed] + step*missed*count/norm
-			weights[executed] = math.Min(math.Max(changed, 0), callsMost)
+	gain, norm := l.gain()
+	if norm > 0 {
+		for called, weights := range l.weights {
+			missed := l.called[called] - dot(weights, l.executed)
+			for i := range weights {
+				weights[i] += gain[i] * missed
+			}
 		}
+		l.trust(gain)
 	}
 	clear(l.executed)
 	clear(l.called)
 }
+
+// gain returns how far each estimate follows the error of this window, and the square of the window's executions.
+func (l *Learner) gain() (gain []float64, norm float64) {
+	gain = make([]float64, len(l.routes))
+	scale := forgetting
+	for i := range l.routes {
+		gain[i] = dot(l.doubt[i], l.executed)
+		scale += gain[i] * l.executed[i]
+		norm += l.executed[i] * l.executed[i]
+	}
+	for i := range gain {
+		gain[i] /= scale
+	}
+
+	return gain, norm
+}
+
+// trust lowers the doubt in the directions that the window has measured, and raises it by what is forgotten.
+func (l *Learner) trust(gain []float64) {
+	along := make([]float64, len(l.routes))
+	for i := range l.routes {
+		along[i] = dot(l.doubt[i], l.executed)
+	}
+	for i := range l.doubt {
+		for j := range l.doubt[i] {
+			l.doubt[i][j] = (l.doubt[i][j] - gain[i]*along[j]) / forgetting
+		}
+	}
+	for i := range l.doubt {
+		if l.doubt[i][i] > doubtMost {
+			l.limitDoubt(i)
+		}
+	}
+}
+
+// limitDoubt scales one route's row and column down to the most doubt allowed.
+func (l *Learner) limitDoubt(place int) {
+	factor := math.Sqrt(doubtMost / l.doubt[place][place])
+	for j := range l.doubt {
+		l.doubt[place][j] *= factor
+		l.doubt[j][place] *= factor
+	}
+}
+
+func dot(a, b []float64) float64 {
+	sum := 0.0
+	for i := range a {
+		sum += a[i] * b[i]
+	}
+
+	return sum
+}
--- a/pkg/quota/quota.go
+++ b/pkg/quota/quota.go
@@ -12,25 +12,29 @@
 }
 
 const (
-	// ratioShare and slackShare leave the rest to counts that windows cut differently and to nodes that start anew.
-	ratioShare = 0.5
-	slackShare = 0.25
+	// ratioShare and slackShare leave the rest to windows that are cut differently elsewhere and to nodes that start anew.
+	ratioShare = 0.7
+	slackShare = 0.3
+	// steps is the number of parts in which a window slides.
+	steps = 10
 )
 
 // Quota is one node's part of the allowance for each service; its owner serialises calls.
 type Quota struct {
 	limits   Limits
-	services map[string]*bucket
+	services map[string]*counts
 }
 
-type bucket struct {
-	tokens float64
-	at     time.Time
+// counts holds the requests and repeats of two windows in steps, the present step last.
+type counts struct {
+	step     int64
+	requests [2 * steps]float64
+	repeats  [2 * steps]float64
 }
 
-// New returns a quota that starts with this node's part of the slack.
+// New returns a quota that has counted nothing yet.
 func New(limits Limits) *Quota {
-	return &Quota{limits: limits, services: map[string]*bucket{}}
+	return &Quota{limits: limits, services: map[string]*counts{}}
 }
 
 // SetNodes takes the number of nodes that share the slack.
@@ -40,48 +44,66 @@
 
 // Request counts a request to the service, which earns its part of a repeat.
 func (q *Quota) Request(now time.Time, service string) {
-	b := q.bucket(now, service)
-	b.tokens = min(b.tokens+q.limits.Ratio*ratioShare, q.most())
+	q.at(now, service).requests[2*steps-1]++
 }
 
 // Take spends what a repeat costs at each service, or nothing if one of them has too little left.
 func (q *Quota) Take(now time.Time, costs map[string]float64) bool {
 	for service, cost := range costs {
-		if q.bucket(now, service).tokens < cost {
+		if q.Left(now, service) < cost {
 			return false
 		}
 	}
 	for service, cost := range costs {
-		q.bucket(now, service).tokens -= cost
+		q.at(now, service).repeats[2*steps-1] += cost
 	}
 
 	return true
 }
 
-// Left returns what is left for repeats to the service.
+// Left returns what is left for repeats to the service in the window that ends now.
 func (q *Quota) Left(now time.Time, service string) float64 {
-	return q.bucket(now, service).tokens
-}
-
-func (q *Quota) most() float64 {
-	return max(1, q.slack()) + 1
-}
+	c := q.at(now, service)
+	present, before := sum(c.requests[steps:]), sum(c.requests[:steps])
+	slack := q.limits.Slack * slackShare / float64(max(q.limits.Nodes, 1))
 
-func (q *Quota) slack() float64 {
-	return q.limits.Slack * slackShare / float64(max(q.limits.Nodes, 1))
+	return q.limits.Ratio*ratioShare*max(present, before) + slack - sum(c.repeats[steps:])
 }
 
-// bucket returns the service's tokens with the slack that the time has brought back.
-func (q *Quota) bucket(now time.Time, service string) *bucket {
+// at returns the service's counts, moved on to the present step.
+func (q *Quota) at(now time.Time, service string) *counts {
+	length := max(q.limits.Window/steps, 1)
+	step := now.UnixNano() / int64(length)
 	known := q.services[service]
 	if known == nil {
-		known = &bucket{tokens: q.slack(), at: now}
+		known = &counts{step: step}
 		q.services[service] = known
 	}
-	if passed := now.Sub(known.at); passed > 0 && q.limits.Window > 0 {
-		known.tokens = min(known.tokens+q.slack()*float64(passed)/float64(q.limits.Window), q.most())
-		known.at = now
+	for known.step < step {
+		known.advance(step)
 	}
 
 	return known
 }
+
+// advance moves on by one step, or starts anew after a gap of both windows.
+func (c *counts) advance(step int64) {
+	if step-c.step >= 2*steps {
+		*c = counts{step: step}
+
+		return
+	}
+	c.step++
+	copy(c.requests[:], c.requests[1:])
+	copy(c.repeats[:], c.repeats[1:])
+	c.requests[2*steps-1], c.repeats[2*steps-1] = 0, 0
+}
+
+func sum(values []float64) float64 {
+	total := 0.0
+	for _, value := range values {
+		total += value
+	}
+
+	return total
+}
