--- a/internal/cmds/node.go
+++ b/internal/cmds/node.go
@@ -32,7 +32,7 @@
 	if err != nil {
 		return err
 	}
-	staySmall(settings.Processors)
+	staySmall(settings.Processors, nodeGCPercent)
 	started, err := node.Start(env.Context, settings, snapshot, node.Logs{Log: log, Decisions: env.Out})
 	if err != nil {
 		return err
--- a/internal/cmds/side.go
+++ b/internal/cmds/side.go
@@ -26,7 +26,7 @@
 	if err != nil {
 		return err
 	}
-	staySmall(processors)
+	staySmall(processors, sidecarGCPercent)
 	if err := platform.Run(env.Context, log, env.Out); err != nil {
 		log.Error("node failed", slog.String("error", err.Error()))
 
--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -18,7 +19,9 @@
 	// observeInterval is the time between two looks at the own backend server's load.
 	observeInterval = 50 * time.Millisecond
 	// learnInterval is the length of the windows in which calls are related to executions.
-	learnInterval = 500 * time.Millisecond
+	learnInterval = 250 * time.Millisecond
+	// pressedMost is the number of services without room that a report names beside those that a route needs.
+	pressedMost = 2
 	// faultMemory is how long a failed call of the backend server may explain a failed answer of its own.
 	faultMemory = time.Second
 )
@@ -41,6 +44,7 @@
 	trees    *fanout.Trees
 	board    *shed.Board
 	beliefs  *shed.Board
+	offers   *shed.Offers
 	own      *shed.Controller
 	callers  map[string]*fanout.Callers
 	origins  map[string]fanout.Origin
@@ -57,6 +61,7 @@
 		trees:   fanout.NewTrees(),
 		board:   shed.NewBoard(),
 		beliefs: shed.NewBoard(),
+		offers:  shed.NewOffers(),
 		own:     shed.NewController(time.Now()),
 		callers: map[string]*fanout.Callers{},
 		origins: map[string]fanout.Origin{},
@@ -167,6 +172,8 @@
 	}
 	if report.Slots > 0 {
 		d.beliefs.Observe(now, hop.Service, report.Belief)
+	}
+	if report.Learned {
 		d.trees.Learn(key, report.Needs)
 	}
 }
@@ -186,24 +193,39 @@
 	return now.Sub(d.failedAt) < faultMemory
 }
 
-// Decide says whether the call tree of a request has room, with the services that it needs.
+// Decide says whether the call tree of a request has room; one of which nothing is known counts as needing every service.
 func (d *Demand) Decide(now time.Time, route, service string, demand shed.Demand) shed.Decision {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	demand.Services = append(demand.Services, service)
+	demand.Calls = d.calls(route, service)
+	for called, calls := range demand.Calls {
+		d.offers.Note(now, called, demand.Priority, calls)
+	}
+	if !d.trees.Knows(wire.RouteKey(route, service)) {
+		for _, other := range d.board.Services() {
+			demand.Calls[other] = max(demand.Calls[other], 1)
+		}
+	}
+
+	return d.board.Decide(now, d.offers, demand)
+}
+
+// calls returns the calls to each service that an execution on the route makes, its own included; the caller holds the lock.
+func (d *Demand) calls(route, service string) map[string]float64 {
+	calls := map[string]float64{service: 1}
 	for _, need := range d.trees.Needs(wire.RouteKey(route, service)) {
-		demand.Services = append(demand.Services, need.Service)
+		calls[need.Service] += need.Calls
 	}
 
-	return d.board.Decide(now, demand)
+	return calls
 }
 
 // Belief returns the admission level of a service as this node believes it, negative if it knows none.
 func (d *Demand) Belief(now time.Time, service string) float64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if known := d.beliefs.Known(now, []string{service}); len(known) > 0 {
-		return known[0].Value
+	if belief, known := d.beliefs.Known(now, service); known {
+		return belief.Value
 	}
 
 	return -1
@@ -213,32 +235,43 @@
 func (d *Demand) Costs(route, service string) map[string]float64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	costs := map[string]float64{service: 1}
-	for _, need := range d.trees.Needs(wire.RouteKey(route, service)) {
-		costs[need.Service] += need.Calls
-	}
 
-	return costs
+	return d.calls(route, service)
 }
 
 // Describe completes the report of the own node for a route.
 func (d *Demand) Describe(now time.Time, route string, report wire.Report) wire.Report {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	report.Learned = d.learner.Knows(route)
 	var callees []fanout.Callee
 	for called, calls := range d.learner.Callees(route) {
 		callees = append(callees, fanout.Callee{Route: called, Service: d.callees[called], Calls: calls})
+		report.Learned = report.Learned && d.trees.Knows(called)
 	}
 	report.Needs = d.trees.Sum(callees)
-	report.Belief = d.own.Belief()
-	report.Levels = append(report.Levels, shed.Level{Service: d.service, Value: d.own.Level()})
-	below := make([]string, 0, len(report.Needs))
-	for _, need := range report.Needs {
-		if need.Service != d.service {
-			below = append(below, need.Service)
+	report.Belief = d.own.Level()
+	report.Levels = d.levels(now, report.Needs)
+
+	return report
+}
+
+// levels returns those of the own service, of the services needed, and of those that have least room; the caller holds the lock.
+func (d *Demand) levels(now time.Time, needs []fanout.Need) []shed.Level {
+	found := []shed.Level{{Service: d.service, Value: d.own.Level()}}
+	named := func(service string) bool {
+		return slices.ContainsFunc(found, func(level shed.Level) bool { return level.Service == service })
+	}
+	for _, need := range needs {
+		if level, known := d.board.Known(now, need.Service); known && !named(need.Service) {
+			found = append(found, level)
+		}
+	}
+	for _, level := range d.board.Pressed(now, pressedMost) {
+		if !named(level.Service) {
+			found = append(found, level)
 		}
 	}
-	report.Levels = append(report.Levels, d.board.Known(now, below)...)
 
-	return report
+	return found
 }
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -32,7 +32,7 @@
 	// maxAnswer is the largest answer in bytes that is buffered.
 	maxAnswer = 64 << 20
 	// peerIdle is the time after which an idle connection to another node is not used again.
-	peerIdle = 20 * time.Second
+	peerIdle = 2 * time.Second
 	// peerDial bounds a new connection to another node.
 	peerDial = 300 * time.Millisecond
 	// clientIdle is how long a client may leave its connection unused.
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -176,6 +176,9 @@
 		verdict = route.VerdictNeutral
 	case report.Reason == call.ReasonUnknownService:
 		verdict = route.VerdictLeaving
+	case report.Reason == call.ReasonBackendShed:
+		// its node keeps a backend server below its slots, so one that turns calls away has a fault
+		verdict = route.VerdictFault
 	}
 	if r.front.placer.done(now, r.service, chosen, verdict, told) {
 		r.decide(trace.StepEject, chosen.ID, report.Outcome, report.Reason, "")
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -265,6 +265,7 @@
 		g.declare(member.StateDraining)
 	case beat.StateLost:
 		g.queue.Drop(reasonLost)
+		g.declare(member.StateDraining)
 	case beat.StateAbsent:
 	}
 }
--- a/internal/wire/hop.go
+++ b/internal/wire/hop.go
@@ -28,7 +28,7 @@
 	listSeparator  = ","
 	pairSeparator  = "="
 	hopFields      = 9
-	reportFields   = 12
+	reportFields   = 13
 )
 
 // Hop is what an entry tells the executing node about a routed request.
@@ -112,8 +112,10 @@
 	// Belief is the level of the node's service without its passing part.
 	Belief float64
 	// Levels are those of the node's service and of the services that the route needs.
-	Levels   []shed.Level
-	Needs    []fanout.Need
+	Levels []shed.Level
+	// Learned says that Needs are known, be they none.
+	Learned bool
+	Needs   []fanout.Need
 }
 
 // SetReport writes the report into the answer's headers.
@@ -138,6 +140,7 @@
 		flag(report.OwnFault),
 		decimals(report.Belief),
 		strings.Join(levels, listSeparator),
+		flag(report.Learned),
 		strings.Join(needs, listSeparator),
 	}, fieldSeparator))
 }
@@ -164,6 +167,7 @@
 	r.pairs(func(name string, value float64) {
 		report.Levels = append(report.Levels, shed.Level{Service: name, Value: value})
 	})
+	report.Learned = r.number() == 1
 	r.pairs(func(name string, value float64) {
 		report.Needs = append(report.Needs, fanout.Need{Service: name, Calls: value})
 	})
@@ -179,13 +183,13 @@
 	return "0"
 }
 
-// pair states three decimals, which is finer than any of the figures is known.
+// pair states two decimals, which is finer than any of the figures is known.
 func pair(name string, value float64) string {
 	return url.QueryEscape(name) + pairSeparator + decimals(value)
 }
 
 func decimals(value float64) string {
-	return strconv.FormatFloat(value, 'f', 3, 64)
+	return strconv.FormatFloat(value, 'f', 2, 64)
 }
 
 // fieldReader takes fields in their order and keeps the first error.
--- a/pkg/beat/server.go
+++ b/pkg/beat/server.go
@@ -23,7 +23,7 @@
 	state   State
 	report  Report
 	heard   time.Time
-	// left are the processes that ended under the present ID, none of which may come back.
+	// left are the processes that are known to have ended, none of which may come back.
 	left map[process]bool
 }
 
@@ -84,7 +84,7 @@
 	if known && r.ID != s.report.ID && r.Born.Equal(s.report.Born) && !silent && s.state == StateReady {
 		return VerdictFormer
 	}
-	if known {
+	if known && (s.state == StateDraining || s.report.Born.Before(r.Born)) {
 		s.forget(s.report)
 	}
 	s.take(now, r, eventBegin)
--- a/pkg/fanout/learn.go
+++ b/pkg/fanout/learn.go
@@ -16,6 +16,12 @@
 	callsMost = 64.0
 	// leastCalls is the estimate below which a route counts as not called.
 	leastCalls = 0.3
+	// certainty is the number of standard deviations by which an estimate must stand off from zero.
+	certainty = 3.0
+	// noiseShare is the weight of one window in the variance of what the estimates miss.
+	noiseShare = 0.1
+	// windowsLeast is the number of windows after which it is known which routes are called.
+	windowsLeast = 4
 	// routesMost bounds the executed routes that are told apart.
 	routesMost = 16
 )
@@ -31,11 +37,15 @@
 	doubt    [][]float64
 	called   map[string]float64
 	weights  map[string][]float64
+	// noise is the variance of the calls that the estimates miss in a window.
+	noise map[string]float64
+	// windows counts for each executed route the windows in which it was executed.
+	windows []int
 }
 
 // NewLearner returns a learner that knows nothing yet.
 func NewLearner() *Learner {
-	return &Learner{called: map[string]float64{}, weights: map[string][]float64{}}
+	return &Learner{called: map[string]float64{}, weights: map[string][]float64{}, noise: map[string]float64{}}
 }
 
 // Executed counts one execution of a route in the present window.
@@ -54,6 +64,7 @@
 func (l *Learner) add(route string) int {
 	l.routes = append(l.routes, route)
 	l.executed = append(l.executed, 0)
+	l.windows = append(l.windows, 0)
 	size := len(l.routes)
 	for i := range l.doubt {
 		l.doubt[i] = append(l.doubt[i], 0)
@@ -69,9 +80,10 @@
 
 // reset forgets everything, as when the operators have replaced many routes.
 func (l *Learner) reset() {
-	l.routes, l.executed, l.doubt = nil, nil, nil
+	l.routes, l.executed, l.windows, l.doubt = nil, nil, nil, nil
 	clear(l.weights)
 	clear(l.called)
+	clear(l.noise)
 }
 
 // Called counts one call that the backend server made in the present window.
@@ -93,11 +105,24 @@
 	return min(max(weights[place], 0), callsMost)
 }
 
-// Callees returns the called routes with their estimates for one executed route.
+// Knows reports whether an executed route was seen for long enough to tell which routes it calls.
+func (l *Learner) Knows(executed string) bool {
+	place := slices.Index(l.routes, executed)
+
+	return place >= 0 && l.windows[place] >= windowsLeast
+}
+
+// Callees returns the called routes with their estimates for one executed route, those that may be none left out.
 func (l *Learner) Callees(executed string) map[string]float64 {
 	found := map[string]float64{}
+	place := slices.Index(l.routes, executed)
+	if place < 0 {
+		return found
+	}
 	for called := range l.weights {
-		if calls := l.Calls(executed, called); calls >= leastCalls {
+		calls := l.Calls(executed, called)
+		deviation := math.Sqrt(l.noise[called] * l.doubt[place][place])
+		if calls >= leastCalls && calls >= certainty*deviation {
 			found[called] = calls
 		}
 	}
@@ -114,6 +139,8 @@
 			for i := range weights {
 				weights[i] += gain[i] * missed
 			}
+			left := l.called[called] - dot(weights, l.executed)
+			l.noise[called] += noiseShare * (left*left - l.noise[called])
 		}
 		l.trust(gain)
 	}
@@ -129,6 +156,9 @@
 		gain[i] = dot(l.doubt[i], l.executed)
 		scale += gain[i] * l.executed[i]
 		norm += l.executed[i] * l.executed[i]
+		if l.executed[i] > 0 {
+			l.windows[i]++
+		}
 	}
 	for i := range gain {
 		gain[i] /= scale
--- a/pkg/fanout/needs.go
+++ b/pkg/fanout/needs.go
@@ -45,6 +45,13 @@
 	Calls   float64
 }
 
+// Knows reports whether an executing node has told what the route needs.
+func (t *Trees) Knows(route string) bool {
+	_, known := t.needs[route]
+
+	return known
+}
+
 // Sum adds up what the callees and their own call trees need.
 func (t *Trees) Sum(callees []Callee) []Need {
 	sums := map[string]float64{}
--- a/pkg/shed/board.go
+++ b/pkg/shed/board.go
@@ -1,13 +1,15 @@
 package shed
 
 import (
-	"math"
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 )
 
 const (
 	// levelMemory is the time constant with which reports of one service replace each other.
-	levelMemory = 300 * time.Millisecond
+	levelMemory = 80 * time.Millisecond
 	// levelAge is how long a level holds without a report, before it opens again.
 	levelAge = 2 * time.Second
 	// openRate is how fast a level without reports opens, per second.
@@ -48,7 +50,7 @@
 		passed = 0
 	}
 	// a report counts for at least a little, so that many at one moment are averaged
-	share := max(1-math.Exp(-float64(passed)/float64(levelMemory)), reportShare)
+	share := max(follow(passed, levelMemory), reportShare)
 	known.value += share * (level - known.value)
 	known.at = now
 }
@@ -70,14 +72,29 @@
 	return min(known.value+openRate*(age-levelAge).Seconds(), 1)
 }
 
-// Known returns the levels of the services named of which there were reports.
-func (b *Board) Known(now time.Time, services []string) []Level {
+// Known returns the level of a service, and whether there was a report of it.
+func (b *Board) Known(now time.Time, service string) (Level, bool) {
+	_, known := b.levels[service]
+
+	return Level{Service: service, Value: b.Level(now, service)}, known
+}
+
+// Pressed returns the levels of the services that do not admit everything, the lowest first and no more than the number given.
+func (b *Board) Pressed(now time.Time, most int) []Level {
 	var found []Level
-	for _, service := range services {
-		if b.levels[service] != nil {
-			found = append(found, Level{Service: service, Value: b.Level(now, service)})
+	for service, known := range b.levels {
+		if known.value < 1 && now.Sub(known.at) <= levelAge {
+			found = append(found, Level{Service: service, Value: known.value})
 		}
 	}
+	slices.SortFunc(found, func(a, c Level) int {
+		return cmp.Or(cmp.Compare(a.Value, c.Value), cmp.Compare(a.Service, c.Service))
+	})
+
+	return found[:min(len(found), most)]
+}
 
-	return found
+// Services returns the services of which there were reports.
+func (b *Board) Services() []string {
+	return slices.Collect(maps.Keys(b.levels))
 }
