--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -44,7 +44,6 @@
 	trees    *fanout.Trees
 	board    *shed.Board
 	beliefs  *shed.Board
-	offers   *shed.Offers
 	own      *shed.Controller
 	callers  map[string]*fanout.Callers
 	origins  map[string]fanout.Origin
@@ -61,7 +60,6 @@
 		trees:   fanout.NewTrees(),
 		board:   shed.NewBoard(),
 		beliefs: shed.NewBoard(),
-		offers:  shed.NewOffers(),
 		own:     shed.NewController(time.Now()),
 		callers: map[string]*fanout.Callers{},
 		origins: map[string]fanout.Origin{},
@@ -197,17 +195,16 @@
 func (d *Demand) Decide(now time.Time, route, service string, demand shed.Demand) shed.Decision {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	demand.Calls = d.calls(route, service)
-	for called, calls := range demand.Calls {
-		d.offers.Note(now, called, demand.Priority, calls)
-	}
-	if !d.trees.Knows(wire.RouteKey(route, service)) {
-		for _, other := range d.board.Services() {
-			demand.Calls[other] = max(demand.Calls[other], 1)
+	demand.Services = append(demand.Services, service)
+	if d.trees.Knows(wire.RouteKey(route, service)) {
+		for _, need := range d.trees.Needs(wire.RouteKey(route, service)) {
+			demand.Services = append(demand.Services, need.Service)
 		}
+	} else {
+		demand.Services = append(demand.Services, d.board.Services()...)
 	}
 
-	return d.board.Decide(now, d.offers, demand)
+	return d.board.Decide(now, demand)
 }
 
 // calls returns the calls to each service that an execution on the route makes, its own included; the caller holds the lock.
@@ -250,7 +247,7 @@
 		report.Learned = report.Learned && d.trees.Knows(called)
 	}
 	report.Needs = d.trees.Sum(callees)
-	report.Belief = d.own.Level()
+	report.Belief = d.own.Belief()
 	report.Levels = d.levels(now, report.Needs)
 
 	return report
--- a/internal/front/handle.go
+++ b/internal/front/handle.go
@@ -121,6 +121,7 @@
 	}
 	decision := r.front.demand.Decide(r.arrived, r.route.Name, r.service, shed.Demand{
 		Priority: r.route.Priority,
+		Lowest:   r.table.LowestPriority(),
 		Draw:     rand.Float64(),
 	})
 	r.detail = "rank " + decimal(decision.Rank) + ", level " + decimal(decision.Level) + " of " + decision.Service
--- a/internal/routed/node.go
+++ b/internal/routed/node.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"log/slog"
-	"runtime"
 	"sync/atomic"
 	"time"
 
@@ -98,14 +97,6 @@
 	if n.started, err = k.Start(ctx); err != nil {
 		return nil, err
 	}
-	go func() {
-		for {
-			time.Sleep(time.Second)
-			var m runtime.MemStats
-			runtime.ReadMemStats(&m)
-			n.log.Info("TMPMEM", "alloc", m.HeapAlloc>>10, "inuse", m.HeapInuse>>10, "stack", m.StackInuse>>10, "sys", m.Sys>>10, "rel", m.HeapReleased>>10, "gor", runtime.NumGoroutine(), "gc", m.NumGC, "act", n.front.Active(), "gact", n.guard.Active())
-		}
-	}()
 	n.log.LogAttrs(ctx, slog.LevelInfo, "node started",
 		slog.String("node", options.Name),
 		slog.String("dataCentre", options.DataCentre),
--- a/pkg/shed/admit.go
+++ b/pkg/shed/admit.go
@@ -8,12 +8,26 @@
 
 // Demand is a request that asks to enter at its first hop.
 type Demand struct {
-	// Priority is 0 for the most important requests.
+	// Priority is 0 for the most important requests, Lowest the largest number in use.
 	Priority int
+	Lowest   int
 	// Draw is a uniform random number in [0, 1) that orders the requests of one priority.
 	Draw float64
-	// Calls are those that the request's call tree makes to each service, its own among them.
-	Calls map[string]float64
+	// Services are those that the request's calls reach, its own among them.
+	Services []string
+}
+
+// lowestShare is the part of all ranks that the least important requests have, so that a dip of the level hardly ever reaches
+// the more important ones.
+const lowestShare = 0.5
+
+// Rank returns the place of the request among all demand, from 0 for the most important up to 1.
+func (d Demand) Rank() float64 {
+	if d.Priority >= d.Lowest {
+		return 1 - lowestShare*(1-d.Draw)
+	}
+
+	return (1 - lowestShare) * (float64(d.Priority) + d.Draw) / float64(d.Lowest)
 }
 
 // Decision says whether a request enters, and which service binds.
@@ -25,19 +39,16 @@
 	Rank     float64
 }
 
-// Decide admits a request if its rank lies below the level of every service that it calls.
-func (b *Board) Decide(now time.Time, offers *Offers, demand Demand) Decision {
-	decision := Decision{Admitted: true, Reason: call.ReasonOK, Level: 1}
-	margin := 2.0
-	for service := range demand.Calls {
-		level := b.Level(now, service)
-		rank := offers.Rank(service, demand.Priority, demand.Draw)
-		if level-rank < margin {
-			margin = level - rank
-			decision.Service, decision.Level, decision.Rank = service, level, rank
+// Decide admits a request whose rank is below the level of every service that it needs.
+func (b *Board) Decide(now time.Time, demand Demand) Decision {
+	decision := Decision{Admitted: true, Reason: call.ReasonOK, Level: 1, Rank: demand.Rank()}
+	for _, service := range demand.Services {
+		if level := b.Level(now, service); level < decision.Level {
+			decision.Level = level
+			decision.Service = service
 		}
 	}
-	if decision.Level < 1 && decision.Rank >= decision.Level {
+	if decision.Rank >= decision.Level && decision.Level < 1 {
 		decision.Admitted = false
 		decision.Reason = call.ReasonOverload
 	}
