--- /dev/null
+++ b/pkg/beat/beat_test.go
@@ -0,0 +1,105 @@
+package beat_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiotack/pistachiotack/pkg/beat"
+)
+
+const interval = time.Second
+
+var options = beat.Options{Service: "logboek", Address: "10.0.0.1:80", Interval: interval}
+
+func report(id string, born int64, sequence uint64) beat.Report {
+	return beat.Report{ID: id, Service: "logboek", Address: "10.0.0.1:80", Born: time.UnixMilli(born), Sequence: sequence, Slots: 4}
+}
+
+// hearing is one heartbeat that comes after a while, and what is expected of it.
+type hearing struct {
+	after    time.Duration
+	report   beat.Report
+	draining bool
+	verdict  beat.Verdict
+	state    beat.State
+}
+
+func TestHear(t *testing.T) {
+	foreign := report("i-1", 100, 1)
+	foreign.Service = "alarm"
+	for name, hearings := range map[string][]hearing{
+		"first and next": {
+			{0, report("i-1", 100, 1), false, beat.VerdictTaken, beat.StateReady},
+			{interval, report("i-1", 100, 2), false, beat.VerdictTaken, beat.StateReady},
+		},
+		"another service": {{0, foreign, false, beat.VerdictForeign, beat.StateAbsent}},
+		"overtaken": {
+			{0, report("i-1", 100, 5), false, beat.VerdictTaken, beat.StateReady},
+			{0, report("i-1", 100, 4), true, beat.VerdictLate, beat.StateReady},
+		},
+		"restart under the same id counts from one": {
+			{0, report("i-1", 100, 9), false, beat.VerdictTaken, beat.StateReady},
+			{interval, report("i-1", 200, 1), false, beat.VerdictTaken, beat.StateReady},
+			{interval, report("i-1", 100, 10), true, beat.VerdictFormer, beat.StateReady},
+		},
+		"draining stays": {
+			{0, report("i-1", 100, 1), true, beat.VerdictTaken, beat.StateDraining},
+			{interval, report("i-1", 100, 2), false, beat.VerdictTaken, beat.StateDraining},
+		},
+		"the next process after one that left": {
+			{0, report("i-1", 100, 1), true, beat.VerdictTaken, beat.StateDraining},
+			{interval, report("i-2", 200, 1), false, beat.VerdictTaken, beat.StateReady},
+			{0, report("i-1", 100, 2), false, beat.VerdictFormer, beat.StateReady},
+		},
+		"delayed heartbeat of the one before": {
+			{0, report("i-2", 200, 1), false, beat.VerdictTaken, beat.StateReady},
+			{0, report("i-1", 100, 7), false, beat.VerdictFormer, beat.StateReady},
+		},
+		"delayed heartbeat without a birth does not replace one that is heard of": {
+			{0, report("i-2", 0, 3), false, beat.VerdictTaken, beat.StateReady},
+			{interval, report("i-1", 0, 7), false, beat.VerdictFormer, beat.StateReady},
+		},
+		"clock set back between two processes": {
+			{0, report("i-1", 900, 3), false, beat.VerdictTaken, beat.StateReady},
+			{4 * interval, report("i-2", 100, 1), false, beat.VerdictTaken, beat.StateReady},
+			{0, report("i-1", 900, 4), false, beat.VerdictTaken, beat.StateReady},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Now()
+			server := beat.NewServer(options)
+			for _, h := range hearings {
+				now = now.Add(h.after)
+				h.report.Draining = h.draining
+				require.Equal(t, h.verdict, server.Hear(now, h.report), h.report.String())
+				require.Equal(t, h.state, server.State(), h.report.String())
+			}
+		})
+	}
+}
+
+func TestLeaveConcernsOnlyTheServerThatIsKnown(t *testing.T) {
+	now := time.Now()
+	server := beat.NewServer(options)
+	require.False(t, server.Leave("i-1"))
+	server.Hear(now, report("i-1", 100, 1))
+	require.False(t, server.Leave("i-0"))
+	require.Equal(t, beat.StateReady, server.State())
+	require.True(t, server.Leave("i-1"))
+	require.Equal(t, beat.StateDraining, server.State())
+}
+
+func TestALostServerComesBackWithItsNextHeartbeat(t *testing.T) {
+	now := time.Now()
+	server := beat.NewServer(options)
+	server.Hear(now, report("i-1", 100, 1))
+	require.False(t, server.Tick(now.Add(3*interval)))
+	require.True(t, server.Tick(now.Add(5*interval)))
+	require.Equal(t, beat.StateLost, server.State())
+	server.Hear(now.Add(6*interval), report("i-1", 100, 2))
+	require.Equal(t, beat.StateReady, server.State())
+	server.Misplaced("i-1")
+	require.Equal(t, beat.StateLost, server.State())
+}
--- /dev/null
+++ b/pkg/queue/queue_test.go
@@ -0,0 +1,119 @@
+package queue_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/pistachiotack/pistachiotack/pkg/call"
+	"github.com/pistachiotack/pistachiotack/pkg/queue"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+var limits = queue.Limits{Slots: 2, Waiting: 2, Wait: 250 * time.Millisecond, Least: 5 * time.Millisecond}
+
+// decided returns the decision on a ticket, empty while it waits.
+func decided(t *queue.Ticket) call.Reason {
+	select {
+	case reason := <-t.Decided():
+		return reason
+	default:
+		return ""
+	}
+}
+
+func TestImportantCallsGoFirstAndTheLastIsRefused(t *testing.T) {
+	now := time.Now()
+	q := queue.New(limits)
+	item := func(rank int) queue.Item { return queue.Item{Rank: rank, Expires: now.Add(time.Second)} }
+	require.Equal(t, call.ReasonOK, decided(q.Offer(now, item(1))))
+	require.Equal(t, call.ReasonOK, decided(q.Offer(now, item(1))))
+	bulk, later, vital := q.Offer(now, item(3)), q.Offer(now, item(2)), q.Offer(now, item(0))
+	require.Equal(t, call.ReasonQueueFull, decided(bulk))
+	require.Empty(t, decided(later))
+	q.Release(now)
+	require.Equal(t, call.ReasonOK, decided(vital))
+	q.Release(now)
+	require.Equal(t, call.ReasonOK, decided(later))
+}
+
+func TestRefusals(t *testing.T) {
+	now := time.Now()
+	for name, test := range map[string]struct {
+		act    func(q *queue.Queue)
+		left   time.Duration
+		reason call.Reason
+	}{
+		"no time left when it comes": {func(*queue.Queue) {}, time.Millisecond, call.ReasonHopeless},
+		"waits too long":             {func(q *queue.Queue) { q.Tick(now.Add(300 * time.Millisecond)) }, time.Second, call.ReasonQueueTimeout},
+		"no time left when it waits": {func(q *queue.Queue) { q.Tick(now.Add(98 * time.Millisecond)) }, 100 * time.Millisecond, call.ReasonHopeless},
+		"server leaves":              {func(q *queue.Queue) { q.Drop(call.ReasonDraining) }, time.Second, call.ReasonDraining},
+		"more slots":                 {func(q *queue.Queue) { more := limits; more.Slots = 3; q.SetLimits(now, more) }, time.Second, call.ReasonOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			q := queue.New(limits)
+			for range limits.Slots {
+				q.Offer(now, queue.Item{Expires: now.Add(time.Second)})
+			}
+			ticket := q.Offer(now, queue.Item{Expires: now.Add(test.left)})
+			test.act(q)
+			require.Equal(t, test.reason, decided(ticket))
+		})
+	}
+}
+
+// Each ticket is decided at most once, no more calls run than there are slots, and none waits beside a free slot.
+func TestQueueKeepsItsBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Now()
+		q := queue.New(limits)
+		var waiting []*queue.Ticket
+		running := 0
+		settle := func() {
+			still := waiting[:0]
+			for _, ticket := range waiting {
+				switch decided(ticket) {
+				case "":
+					still = append(still, ticket)
+				case call.ReasonOK:
+					running++
+				}
+			}
+			waiting = still
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 60).Draw(t, "passed")) * time.Millisecond)
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0, 1:
+				left := time.Duration(rapid.IntRange(0, 400).Draw(t, "left")) * time.Millisecond
+				waiting = append(waiting, q.Offer(now, queue.Item{Rank: rapid.IntRange(0, 3).Draw(t, "rank"), Expires: now.Add(left)}))
+			case 2:
+				if running > 0 {
+					running--
+					q.Release(now)
+				}
+			case 3:
+				if len(waiting) > 0 && q.Abandon(waiting[0]) {
+					waiting = waiting[1:]
+				}
+			}
+			settle()
+			load := q.Load()
+			require.Equal(t, running, load.Running)
+			require.LessOrEqual(t, load.Running, limits.Slots)
+			require.LessOrEqual(t, load.Waiting, limits.Waiting)
+			require.False(t, load.Waiting > 0 && load.Running < limits.Slots)
+			require.Len(t, waiting, load.Waiting)
+		}
+	})
+}
--- /dev/null
+++ b/pkg/routes/routes_test.go
@@ -0,0 +1,82 @@
+package routes_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/pistachiotack/pistachiotack/pkg/routes"
+)
+
+func route(name, host, prefix string, parts ...routes.Part) routes.Route {
+	if len(parts) == 0 {
+		parts = []routes.Part{{Service: name, Weight: 1}}
+	}
+
+	return routes.Route{Name: name, Host: host, Prefix: prefix, Parts: parts, Attempts: 2}
+}
+
+func TestFindTakesTheLongestPrefixOfTheHost(t *testing.T) {
+	table, err := routes.NewTable(7, []routes.Route{
+		route("short", "a.example", "/x/"),
+		route("long", "a.example", "/x/y/"),
+		route("other", "b.example", "/"),
+	})
+	require.NoError(t, err)
+	require.Equal(t, uint64(7), table.Version())
+	require.Equal(t, []string{"long", "other", "short"}, table.Services())
+	for _, test := range []struct{ host, path, name string }{
+		{"a.example", "/x/1", "short"},
+		{"A.Example:80", "/x/y/1", "long"},
+		{"a.example", "/x/y", "short"},
+		{"b.example", "/anything", "other"},
+		{"a.example", "/x", ""},
+		{"c.example", "/x/1", ""},
+	} {
+		found, ok := table.Find(test.host, test.path)
+		require.Equal(t, test.name != "", ok, "%s%s", test.host, test.path)
+		if ok {
+			require.Equal(t, test.name, found.Name)
+		}
+	}
+}
+
+func TestTableRefusesWhatCannotBeServed(t *testing.T) {
+	for name, bad := range map[string]routes.Route{
+		"no host":           route("r", "", "/x/"),
+		"open prefix":       route("r", "a.example", "/x"),
+		"no part":           {Name: "r", Host: "a.example", Prefix: "/x/", Attempts: 1},
+		"no weight":         route("r", "a.example", "/x/", routes.Part{Service: "s"}),
+		"no attempt":        {Name: "r", Host: "a.example", Prefix: "/x/", Parts: []routes.Part{{Service: "s", Weight: 1}}},
+		"negative priority": {Name: "r", Host: "a.example", Prefix: "/x/", Parts: []routes.Part{{Service: "s", Weight: 1}}, Attempts: 1, Priority: -1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := routes.NewTable(1, []routes.Route{bad})
+			require.ErrorIs(t, err, routes.ErrInvalid)
+		})
+	}
+}
+
+func TestSplitterKeepsTheWeightsInEveryRun(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		parts := make([]routes.Part, rapid.IntRange(1, 4).Draw(t, "parts"))
+		sum := 0.0
+		for i := range parts {
+			parts[i] = routes.Part{Service: fmt.Sprint(i), Weight: float64(rapid.IntRange(1, 90).Draw(t, "weight"))}
+			sum += parts[i].Weight
+		}
+		table, err := routes.NewTable(1, []routes.Route{route("r", "a.example", "/", parts...)})
+		require.NoError(t, err)
+		found, _ := table.Find("a.example", "/")
+		splitter := routes.NewSplitter()
+		counts := map[string]float64{}
+		for n := 1; n <= 200; n++ {
+			counts[splitter.Pick(table, found)]++
+			for _, part := range parts {
+				require.InDelta(t, float64(n)*part.Weight/sum, counts[part.Service], float64(len(parts)))
+			}
+		}
+	})
+}
--- /dev/null
+++ b/pkg/shed/shed_test.go
@@ -0,0 +1,152 @@
+package shed_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/pistachiotack/pistachiotack/pkg/call"
+	"github.com/pistachiotack/pistachiotack/pkg/shed"
+)
+
+const step = 50 * time.Millisecond
+
+func TestDecide(t *testing.T) {
+	now := time.Now()
+	board := shed.NewBoard()
+	board.Observe(now, "alarm", 0.6)
+	board.Observe(now, "keuring", 1)
+	for name, test := range map[string]struct {
+		demand   shed.Demand
+		admitted bool
+		service  string
+	}{
+		"most important":             {shed.Demand{Priority: 0, Lowest: 2, Draw: 0.99, Services: []string{"alarm"}}, true, "alarm"},
+		"least important, low draw":  {shed.Demand{Priority: 2, Lowest: 2, Draw: 0.1, Services: []string{"alarm"}}, true, "alarm"},
+		"least important, high draw": {shed.Demand{Priority: 2, Lowest: 2, Draw: 0.3, Services: []string{"keuring", "alarm"}}, false, "alarm"},
+		"other services":             {shed.Demand{Priority: 2, Lowest: 2, Draw: 0.9, Services: []string{"keuring"}}, true, ""},
+		"unheard of":                 {shed.Demand{Priority: 2, Lowest: 2, Draw: 0.9, Services: []string{"archief"}}, true, ""},
+		"one priority for all":       {shed.Demand{Draw: 0.1, Services: []string{"alarm"}}, true, "alarm"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			decision := board.Decide(now, test.demand)
+			require.Equal(t, test.admitted, decision.Admitted)
+			require.Equal(t, test.service, decision.Service)
+			if !test.admitted {
+				require.Equal(t, call.ReasonOverload, decision.Reason)
+			}
+		})
+	}
+}
+
+func TestMoreImportantIsNeverRefusedBeforeLessImportant(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		lowest := rapid.IntRange(1, 9).Draw(t, "lowest")
+		high := rapid.IntRange(0, lowest-1).Draw(t, "high")
+		low := rapid.IntRange(high+1, lowest).Draw(t, "low")
+		now := time.Now()
+		board := shed.NewBoard()
+		board.Observe(now, "alarm", rapid.Float64Range(0, 1).Draw(t, "level"))
+		ask := func(priority int, name string) bool {
+			return board.Decide(now, shed.Demand{
+				Priority: priority, Lowest: lowest, Draw: rapid.Float64Range(0, 0.999).Draw(t, name), Services: []string{"alarm"},
+			}).Admitted
+		}
+		if ask(low, "low draw") {
+			require.True(t, ask(high, "high draw"))
+		}
+	})
+}
+
+func TestLevelWithoutReportsOpens(t *testing.T) {
+	now := time.Now()
+	board := shed.NewBoard()
+	board.Observe(now, "alarm", 0)
+	require.Zero(t, board.Level(now.Add(time.Second), "alarm"))
+	require.InDelta(t, 1.0, board.Level(now.Add(5*time.Second), "alarm"), 0.001)
+}
+
+// fleet is the load that the level answers to: call trees of two priorities, whose calls reach the service after a while.
+type fleet struct {
+	controllers []*shed.Controller
+	// pending holds the calls that are on their way, by step.
+	pending []float64
+	queue   float64
+}
+
+// treeSteps is the time from the admission of a call tree to its calls at the service.
+const treeSteps = 12
+
+// play runs for a while with an offered load in multiples of the capacity, and returns the share of the capacity that served.
+func (f *fleet) play(now *time.Time, steps int, vital, bulk float64) (used, vitalServed float64) {
+	admittedVital, offeredVital := 0.0, 0.0
+	for range steps {
+		*now = now.Add(step)
+		board := shed.NewBoard()
+		for _, c := range f.controllers {
+			board.Observe(*now, "alarm", c.Level())
+		}
+		level := board.Level(*now, "alarm")
+		vitalShare, bulkShare := min(level/0.5, 1), max(level-0.5, 0)/0.5
+		arriving := vital*vitalShare + bulk*bulkShare
+		admittedVital += vital * vitalShare
+		offeredVital += vital
+		f.pending = append(f.pending, arriving)
+		f.queue = min(f.queue+f.pending[len(f.pending)-treeSteps], 3)
+		served := min(f.queue, 1)
+		f.queue -= served
+		used += served
+		for _, c := range f.controllers {
+			c.Observe(*now, served+f.queue)
+			c.Heed(*now, level)
+		}
+	}
+
+	return used / float64(steps), admittedVital / offeredVital
+}
+
+func newFleet(now time.Time, servers int) *fleet {
+	f := &fleet{pending: make([]float64, treeSteps)}
+	for range servers {
+		f.controllers = append(f.controllers, shed.NewController(now))
+	}
+
+	return f
+}
+
+// The load is a surge to twice the capacity on a service that call trees reach late, as on the platform's heaviest days.
+func TestSurgeKeepsTheServiceBusyAndTheImportantServed(t *testing.T) {
+	now := time.Now()
+	f := newFleet(now, 4)
+	f.play(&now, 2*treeSteps, 0.3, 0.4)
+	used, vital := f.play(&now, 100, 0.3, 0.4)
+	require.Greater(t, used, 0.69, "a calm load is not refused")
+	require.InDelta(t, 1.0, vital, 0.001)
+	f.play(&now, 100, 0.5, 1.5)
+	used, vital = f.play(&now, 300, 0.5, 1.5)
+	require.Greater(t, used, 0.75)
+	require.Greater(t, vital, 0.95)
+	f.play(&now, 100, 0.3, 0.4)
+	used, _ = f.play(&now, 100, 0.3, 0.4)
+	require.Greater(t, used, 0.69, "the level opens again after the surge")
+}
+
+func TestServersOfOneServiceSettleOnOneLevel(t *testing.T) {
+	now := time.Now()
+	rng := rand.New(rand.NewPCG(1, 2))
+	slow, fast := shed.NewController(now), shed.NewController(now)
+	beliefs := shed.NewBoard()
+	for range 600 {
+		now = now.Add(step)
+		slow.Observe(now, 0.95+0.1*rng.Float64())
+		fast.Observe(now, 0.7+0.1*rng.Float64())
+		beliefs.Observe(now, "alarm", slow.Belief())
+		beliefs.Observe(now, "alarm", fast.Belief())
+		slow.Heed(now, beliefs.Level(now, "alarm"))
+		fast.Heed(now, beliefs.Level(now, "alarm"))
+	}
+	require.InDelta(t, slow.Belief(), fast.Belief(), 0.15)
+}
