--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -268,10 +268,12 @@
 	if err := resp.ReadRespBody(response, a.conn, a.limits.Body); err != nil {
 		return err
 	}
-	if a.conn.Len() > 0 {
+	// an answer that is known by its ID is whole whatever comes behind it, but nothing more may come from that connection
+	more := a.conn.Len() > 0
+	if more && a.limits.Own == nil {
 		return errLeftovers
 	}
-	a.release(!a.foreign && !response.ConnectionClose())
+	a.release(!more && !a.foreign && !response.ConnectionClose())
 
 	return nil
 }
--- a/internal/routed/node.go
+++ b/internal/routed/node.go
@@ -163,8 +163,9 @@
 }
 
 const (
-	// noticeTime is how long clients may go on sending after readiness has ended.
-	noticeTime = 2500 * time.Millisecond
+	// noticeTime is how long clients may go on sending after readiness has ended, noticeShare its bound as a part of the grace time.
+	noticeTime  = 2500 * time.Millisecond
+	noticeShare = 0.6
 	// quietTime is how long no request may have come before the node ends.
 	quietTime = 300 * time.Millisecond
 	// refuseShare is the part of the grace time after which new requests are refused, drainShare the one after which running
@@ -184,8 +185,9 @@
 	n.front.Leave()
 	n.log.LogAttrs(ctx, slog.LevelInfo, "node leaves",
 		slog.Int64("requests", n.front.Active()), slog.Int64("executions", n.guard.Active()))
+	notice := min(noticeTime, n.after(began, noticeShare).Sub(began))
 	n.await(n.after(began, refuseShare), func(quiet time.Duration) bool {
-		return time.Since(began) >= noticeTime && quiet >= quietTime
+		return time.Since(began) >= notice && quiet >= quietTime
 	})
 	n.front.Refuse()
 	n.await(n.after(began, drainShare), func(quiet time.Duration) bool { return quiet >= drainInterval })
