Close the connections of refused clients, name a keep-alive time, and end dials with their context

A stop waited for a dial to a silent store, up to a second, and processes were killed at the end of the grace time. Change: a refusal closes its connection; answers carry Keep-Alive; dialling ends with the attempt's context.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -35,8 +35,10 @@
 	peerIdle = 2 * time.Second
 	// peerDial bounds a new connection to another node.
 	peerDial = 300 * time.Millisecond
-	// clientIdle is how long a client may leave its connection unused.
-	clientIdle = 5 * time.Minute
+	// clientIdle is how long a client may leave its connection unused, as each answer tells it; closeMargin is how much later the
+	// node closes the connection, so that no request crosses the close.
+	clientIdle  = 4 * time.Second
+	closeMargin = 2 * time.Second
 )
 
 // Rules gives the routes in force.
@@ -142,7 +144,7 @@
 		return nil, err
 	}
 	var err error
-	f.server, err = listen.New(f.options.Listen, f.handle, listen.Options{MaxBody: maxBody, Idle: clientIdle})
+	f.server, err = listen.New(f.options.Listen, f.handle, listen.Options{MaxBody: maxBody, Idle: clientIdle + closeMargin})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/front/handle.go
+++ b/internal/front/handle.go
@@ -26,6 +26,11 @@
 	statusFault       = 500
 )
 
+// headerKeepAlive tells clients how long they may leave a connection unused.
+const headerKeepAlive = "Keep-Alive"
+
+var keepAlive = "timeout=" + strconv.Itoa(int(clientIdle/time.Second))
+
 const (
 	// noTimeout bounds a request for which neither its client nor its route states a time.
 	noTimeout = time.Minute
@@ -163,6 +168,7 @@
 // pass gives the answer to the client.
 func (r *request) pass(answer *relay.Answer) {
 	wire.PassBack(&r.http.Response, &answer.Response)
+	r.http.Response.Header.Set(headerKeepAlive, keepAlive)
 	took := time.Since(r.arrived)
 	r.front.noteTime(r.route.Name, took)
 	r.front.metrics.Tagged(map[string]string{"route": r.route.Name}).Timer("answered").Record(took)
@@ -173,6 +179,8 @@
 	status := statusOf(refusal)
 	out := &r.http.Response
 	out.SetStatusCode(status)
+	// a client that comes back does so on a new connection, so this one would only be left idle
+	out.SetConnectionClose()
 	if status == statusUnavailable {
 		after := refusal.RetryAfter
 		if after <= 0 && !r.leaves.IsZero() {
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -81,7 +81,7 @@
 		return &Fault{Stage: StageDial, Reason: call.ReasonDeadline, Cause: errNoTime}
 	}
 	attempt := &attempt{pool: c.pool(address), limits: limits, answer: answer, deadline: deadline}
-	if err := attempt.open(now); err != nil {
+	if err := attempt.open(ctx, now); err != nil {
 		return err
 	}
 
@@ -155,7 +155,7 @@
 	foreign bool
 }
 
-func (a *attempt) open(now time.Time) error {
+func (a *attempt) open(ctx context.Context, now time.Time) error {
 	a.conn, a.generation = a.pool.get(now)
 	if a.conn != nil {
 		return nil
@@ -165,7 +165,7 @@
 	if a.limits.Dial > 0 {
 		timeout = a.limits.Dial
 	}
-	if a.conn, err = dialConn(a.pool.address, min(timeout, a.deadline.Sub(now))); err != nil {
+	if a.conn, err = dialConn(ctx, a.pool.address, min(timeout, a.deadline.Sub(now))); err != nil {
 		return &Fault{Stage: StageDial, Reason: call.ReasonConnect, Cause: err}
 	}
 
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -36,7 +36,7 @@
 }
 
 // dialConn opens a connection that notices an end which has gone silent.
-func dialConn(address string, timeout time.Duration) (*conn, error) {
+func dialConn(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
 	dialer := net.Dialer{
 		Timeout: timeout,
 		KeepAliveConfig: net.KeepAliveConfig{
@@ -47,7 +47,7 @@
 		},
 		Control: limitSend,
 	}
-	raw, err := dialer.DialContext(context.Background(), "tcp", address)
+	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
