Take calls for the backend server for 1.5 s after SIGTERM

Change: a node that is told to stop refuses calls of others only after 1.5 s, when its clients are nearly gone; readiness and membership are told at once or then, running work has the same time as before.

--- a/internal/routed/node.go
+++ b/internal/routed/node.go
@@ -166,6 +166,10 @@
 	// noticeTime is how long clients may go on sending after readiness has ended, noticeShare its bound as a part of the grace time.
 	noticeTime  = 2500 * time.Millisecond
 	noticeShare = 0.6
+	// workTime is how long the node goes on taking calls for its backend server, which may well outlive it; workShare its bound as
+	// a part of the grace time.
+	workTime  = 1500 * time.Millisecond
+	workShare = 0.25
 	// quietTime is how long no request may have come before the node ends.
 	quietTime = 300 * time.Millisecond
 	// refuseShare is the part of the grace time after which new requests are refused, drainShare the one after which running
@@ -181,10 +185,11 @@
 func (n *Node) Stop(ctx context.Context) error {
 	began := time.Now()
 	n.leaving.Store(true)
-	n.guard.Leave()
 	n.front.Leave()
 	n.log.LogAttrs(ctx, slog.LevelInfo, "node leaves",
 		slog.Int64("requests", n.front.Active()), slog.Int64("executions", n.guard.Active()))
+	time.Sleep(min(workTime, n.after(began, workShare).Sub(began)))
+	n.guard.Leave()
 	notice := min(noticeTime, n.after(began, noticeShare).Sub(began))
 	n.await(n.after(began, refuseShare), func(quiet time.Duration) bool {
 		return time.Since(began) >= notice && quiet >= quietTime
