Give slow targets less by the time of their answers, and tell a wrong node from a missing route

Beside that, the refusal of a node of another service was answered with 404 if no other node was left. Change: the placing table compares the time of each answer with the mean of its kind, and multiplies the load by it; a node of another service refuses with wrongIncarnation, which becomes 503. TestSlowTargetGetsLessThanItsShare plays the load.

--- a/internal/front/place.go
+++ b/internal/front/place.go
@@ -60,8 +60,7 @@
 }
 
 // done takes the end of an attempt and reports whether it ejected the node.
-func (p *placer) done(now time.Time, service string, chosen member.Entry, verdict route.Verdict, report *wire.Report) bool {
-	sample := route.Sample{Verdict: verdict}
+func (p *placer) done(now time.Time, service string, chosen member.Entry, sample route.Sample, report *wire.Report) bool {
 	if report != nil {
 		sample.Feedback = &call.Feedback{
 			Inflight: report.Running,
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -96,8 +96,9 @@
 	}
 	chosen := choice.Entry
 	r.tried = append(r.tried, chosen.ID)
+	began := time.Now()
 	report, known := r.send(c, chosen, answer)
-	r.learn(chosen, report, known)
+	r.learn(chosen, report, known, time.Since(began))
 	r.decide(trace.StepRoute, chosen.ID, report.Outcome, report.Reason, r.placed(choice))
 	if report.Outcome != call.OutcomeNotRun {
 		r.sent++
@@ -162,7 +163,7 @@
 }
 
 // learn takes what an attempt tells of its node and of the fleet.
-func (r *request) learn(chosen member.Entry, report wire.Report, known bool) {
+func (r *request) learn(chosen member.Entry, report wire.Report, known bool, took time.Duration) {
 	now := time.Now()
 	var told *wire.Report
 	if known {
@@ -174,13 +175,12 @@
 	switch {
 	case report.Outcome == call.OutcomeRan && report.Reason == call.ReasonBackendFault && !report.OwnFault:
 		verdict = route.VerdictNeutral
-	case report.Reason == call.ReasonUnknownService:
-		verdict = route.VerdictLeaving
 	case report.Reason == call.ReasonBackendShed:
 		// its node keeps a backend server below its slots, so one that turns calls away has a fault
 		verdict = route.VerdictFault
 	}
-	if r.front.placer.done(now, r.service, chosen, verdict, told) {
+	sample := route.Sample{Verdict: verdict, Kind: r.route.Name, Took: took}
+	if r.front.placer.done(now, r.service, chosen, sample, told) {
 		r.decide(trace.StepEject, chosen.ID, report.Outcome, report.Reason, "")
 	}
 }
--- a/internal/guard/run.go
+++ b/internal/guard/run.go
@@ -77,7 +77,7 @@
 		return reasonDraining
 	}
 	if x.hop.Service != g.options.Service {
-		return call.ReasonUnknownService
+		return call.ReasonWrongIncarnation
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -67,6 +67,8 @@
 	byID     map[string]*target
 	updated  bool
 	kinds    map[string]call.Fading
+	// times holds the mean time of answers by kind.
+	times map[string]float64
 
 	// nears and fars are the candidates of one choice, kept to save allocations.
 	nears []*target
@@ -75,7 +77,7 @@
 
 // New returns an empty table for the entry of that name in that data centre.
 func New(self, dataCentre string, rng *rand.Rand) *Table {
-	return &Table{self: self, near: dataCentre, rng: rng, byID: map[string]*target{}, kinds: map[string]call.Fading{}}
+	return &Table{self: self, near: dataCentre, rng: rng, byID: map[string]*target{}, kinds: map[string]call.Fading{}, times: map[string]float64{}}
 }
 
 // Update takes the members of the service and the number of entries in the fleet; a new incarnation starts slowly.
@@ -160,6 +162,7 @@
 	known.inflight = max(known.inflight-1, 0)
 	known.note(now, s)
 	t.learn(now, s)
+	t.compare(now, known, s)
 	if s.Verdict != VerdictFault {
 		if s.Verdict == VerdictOK && known.ejections > 0 && !known.ejected(now) && known.fail(now) < failureGain {
 			known.ejections--
@@ -171,6 +174,23 @@
 	return t.eject(now, known)
 }
 
+// compare tells slow targets from fast ones by the time that they take for answers of one kind.
+func (t *Table) compare(now time.Time, known *target, s Sample) {
+	if s.Verdict != VerdictOK || s.Took <= 0 {
+		return
+	}
+	took := float64(s.Took)
+	mean, found := t.times[s.Kind]
+	if !found {
+		if len(t.times) >= kindsMost {
+			clear(t.times)
+		}
+		mean = took
+	}
+	t.times[s.Kind] = mean + timeGain*(took-mean)
+	known.compare(now, took/mean)
+}
+
 // learn takes the rank below which calls of the kind are in vain, wherever they run.
 func (t *Table) learn(now time.Time, s Sample) {
 	if s.Feedback == nil || s.Kind == "" {
--- a/pkg/route/table_test.go
+++ b/pkg/route/table_test.go
@@ -248,3 +248,46 @@
 		})
 	}
 }
+
+// The load is a service of which one target takes twelve times as long as the others, at half of what all can carry.
+func TestSlowTargetGetsLessThanItsShare(t *testing.T) {
+	now := time.Now()
+	table := route.New("self", "hal-a", rand.New(rand.NewPCG(1, 2)))
+	var members []member.Entry
+	for _, id := range []string{"a", "b", "c", "slow"} {
+		members = append(members, member.Entry{ID: id, DataCentre: "hal-a", Service: "s", State: member.StateServing, Slots: 20})
+	}
+	table.Update(now, members, 1, route.Settings{SpillAt: 0.7, EjectAfter: 3, EjectShare: 0.5})
+	type running struct {
+		id    string
+		until time.Time
+		took  time.Duration
+	}
+	var open []running
+	counts := map[string]int{}
+	for step := range 6000 {
+		now = now.Add(3 * time.Millisecond)
+		still := open[:0]
+		for _, r := range open {
+			if r.until.After(now) {
+				still = append(still, r)
+
+				continue
+			}
+			table.Done(now, r.id, 0, route.Sample{Verdict: route.VerdictOK, Kind: "k", Took: r.took})
+		}
+		open = still
+		choice, refusal := table.Pick(now, route.Query{Rank: call.RankMax, Kind: "k"})
+		require.Nil(t, refusal)
+		took := 80 * time.Millisecond
+		if choice.Entry.ID == "slow" {
+			took *= 12
+		}
+		open = append(open, running{id: choice.Entry.ID, until: now.Add(took), took: took})
+		if step >= 1000 {
+			counts[choice.Entry.ID]++
+		}
+	}
+	require.Less(t, counts["slow"], 5000/25, "of 5,000 calls")
+	require.Greater(t, counts["slow"], 0, "it is still tried, or its recovery would go unseen")
+}
--- a/pkg/route/target.go
+++ b/pkg/route/target.go
@@ -59,6 +59,8 @@
 type Sample struct {
 	Verdict Verdict
 	Kind    string
+	// Took is the time of a whole answer, zero if it is not to be compared with others of its kind.
+	Took time.Duration
 	// Feedback is what rode back on the answer, nil for none.
 	Feedback *call.Feedback
 }
@@ -85,6 +87,10 @@
 	failureAt time.Time
 	samples   int
 
+	// slow is the mean time of its answers as a multiple of what all targets take for the kind.
+	slow   float64
+	slowAt time.Time
+
 	consecutive  int
 	ejectedUntil time.Time
 	ejections    int
@@ -131,9 +137,36 @@
 	return (load + 1) / float64(limit)
 }
 
+const (
+	// timeGain is the weight of one answer in the mean time of its kind, slowGain the one in the slowness of a target.
+	timeGain = 0.02
+	slowGain = 0.1
+	// slowMost bounds the slowness, slowLeast what a fast target gains by it.
+	slowMost  = 10.0
+	slowLeast = 0.5
+	// slowHalf is the time in which a slowness without news halves its distance from that of the others.
+	slowHalf = 2 * time.Second
+)
+
+// slowness returns the factor by which the target's answers take longer than those of the others.
+func (t *target) slowness(now time.Time) float64 {
+	if t.slow == 0 {
+		return 1
+	}
+
+	return 1 + (t.slow-1)*math.Exp2(-float64(now.Sub(t.slowAt))/float64(slowHalf))
+}
+
+// compare takes the time of an answer as a multiple of the mean of its kind.
+func (t *target) compare(now time.Time, ratio float64) {
+	slow := t.slowness(now)
+	t.slow = math.Min(math.Max(slow+slowGain*(ratio-slow), slowLeast), slowMost)
+	t.slowAt = now
+}
+
 // cost compares targets: a failing one counts as more than full, so that failing fast does not look idle.
 func (t *target) cost(now time.Time, slowStart time.Duration) float64 {
-	return t.used(now)/t.weight(now, slowStart) + failureCost*t.fail(now)
+	return t.used(now)*t.slowness(now)/t.weight(now, slowStart) + failureCost*t.fail(now)
 }
 
 // note takes a finished attempt.
