--- a/internal/guard/run.go
+++ b/internal/guard/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
@@ -206,7 +207,7 @@
 	g.dials++
 	if g.dials >= dialsMost && g.backend.State() == beat.StateReady {
 		g.backend.Lose()
-		g.options.Log.Warn("backend server lost", "process", g.backend.Report().String(), "reason", fault.Error())
+		g.options.Log.Warn("backend server lost", slog.String("process", g.backend.Report().String()), slog.String("reason", fault.Error()))
 		g.follow(time.Now())
 	}
 }
