--- a/pkg/beat/beat_test.go
+++ b/pkg/beat/beat_test.go
@@ -103,3 +103,14 @@
 	server.Misplaced("i-1")
 	require.Equal(t, beat.StateLost, server.State())
 }
+
+// A node that was started anew may hear a goodbye before any heartbeat; a late heartbeat must not bring the server back.
+func TestAGoodbyeBeforeAnyHeartbeatIsRemembered(t *testing.T) {
+	now := time.Now()
+	server := beat.NewServer(options)
+	require.False(t, server.Leave("i-1"))
+	require.Equal(t, beat.VerdictFormer, server.Hear(now, report("i-1", 0, 22)))
+	require.Equal(t, beat.StateAbsent, server.State())
+	require.Equal(t, beat.VerdictFormer, server.Hear(now, report("i-1", now.Add(-time.Minute).UnixMilli(), 23)))
+	require.Equal(t, beat.VerdictTaken, server.Hear(now, report("i-1", now.Add(time.Minute).UnixMilli(), 1)), "a later start under the same ID")
+}
