--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -214,7 +214,7 @@
 func (g *Guard) Gone(now time.Time, id string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	known := g.backend.Leave(id)
+	known := g.backend.Leave(now, id)
 	g.follow(now)
 
 	return known
