--- a/internal/proof/main_test.go
+++ b/internal/proof/main_test.go
@@ -13,12 +13,17 @@
 	"github.com/pistachiotack/pistachiotack/pkg/config"
 )
 
-// Short runs in CI use small fleets at a low rate, so that twelve of them share a machine with other tests.
+// Short runs in CI use small fleets at a low rate, so that several of them share a machine with other tests.
 const (
 	shortScale = 40
 	shortSeed  = 1
+	// fleetsAtOnce bounds the fleets of six nodes and more that share one machine's processors.
+	fleetsAtOnce = 3
 )
 
+// running holds one place for each fleet that runs.
+var running = make(chan struct{}, fleetsAtOnce)
+
 func TestMain(m *testing.M) {
 	code := m.Run()
 	proof.RemoveBinary()
@@ -37,6 +42,8 @@
 // start runs a fleet of the example's nodes.
 func start(t *testing.T, options proof.Options) *proof.Fleet {
 	t.Helper()
+	running <- struct{}{}
+	t.Cleanup(func() { <-running })
 	binary, err := proof.Binary(t.Context())
 	require.NoError(t, err)
 	options.Binary = binary
--- a/pkg/trial/judge.go
+++ b/pkg/trial/judge.go
@@ -85,16 +85,17 @@
 	minEvidence = 20
 	// minSuspicion is the least number for a refusal, where enough others fare clearly better.
 	minSuspicion = 8
-	// patience is how often the trial's time passes before a lack of requests decides it.
+	// patience is how often the trial's time passes before a lack of requests or of a clear difference decides it.
 	patience = 2
-	// worseShare and worseDeviations say by how much the trial must fall behind the control.
-	worseShare      = 0.01
-	worseDeviations = 2.5
+	// worseShare is the least share by which the trial must fall behind the control.
+	worseShare = 0.01
+	// chance is the probability under which as many misses on trial are held for the proposal's doing: 2.5 deviations, one-sided.
+	chance = 0.0062
 )
 
 // Judge weighs what was seen since the trial began.
 func Judge(guard Guard, elapsed time.Duration, views []View) Verdict {
-	seen, outside := false, ""
+	seen, undecided, outside := false, false, ""
 	for _, view := range views {
 		enough := view.Trial.Offered >= minEvidence
 		seen = seen || enough
@@ -106,6 +107,7 @@
 		}
 		if enough {
 			outside = view.describe(guard)
+			undecided = undecided || view.Control.Share() >= guard.Goodput
 		}
 	}
 	switch {
@@ -113,6 +115,10 @@
 		return Verdict{Action: ActionWait}
 	case !seen:
 		return judgeUnseen(guard, elapsed, views)
+	case undecided && elapsed < patience*guard.Time:
+		return Verdict{Action: ActionWait}
+	case undecided:
+		return Verdict{Action: ActionAccept, Reason: ReasonWithinChance, Detail: outside}
 	case outside != "":
 		return Verdict{Action: ActionAccept, Reason: ReasonOtherOverload, Detail: outside}
 	default:
@@ -143,14 +149,34 @@
 
 // worse reports whether the trial fell behind the control by more than chance explains.
 func (v View) worse() bool {
-	gap := v.Control.Share() - v.Trial.Share()
-	if gap < worseShare {
-		return false
+	return v.Control.Share()-v.Trial.Share() >= worseShare && v.byChance() < chance
+}
+
+// byChance is the probability that at least as many of all misses fall on the trial if it makes no difference (Fisher's exact test).
+func (v View) byChance() float64 {
+	all := v.Trial.Plus(v.Control)
+	misses, offered := all.Offered-all.Good, v.Trial.Offered
+	whole := logChoose(all.Offered, offered)
+	sum := 0.0
+	for on := offered - v.Trial.Good; on <= min(misses, offered); on++ {
+		if offered-on > all.Good {
+			continue
+		}
+		sum += math.Exp(logChoose(misses, on) + logChoose(all.Good, offered-on) - whole)
 	}
-	pooled := v.Control.Plus(v.Trial).Share()
-	deviation := math.Sqrt(pooled * (1 - pooled) * (1/float64(v.Trial.Offered) + 1/float64(v.Control.Offered)))
 
-	return gap > worseDeviations*deviation
+	return sum
+}
+
+// logChoose returns the logarithm of the number of ways to choose k of n.
+func logChoose(n, k uint64) float64 {
+	return logFactorial(n) - logFactorial(k) - logFactorial(n-k)
+}
+
+func logFactorial(n uint64) float64 {
+	value, _ := math.Lgamma(float64(n) + 1)
+
+	return value
 }
 
 func (v View) describe(guard Guard) string {
--- a/pkg/trial/proposal.go
+++ b/pkg/trial/proposal.go
@@ -34,6 +34,7 @@
 	ReasonNoTraffic     call.Reason = "noTraffic"
 	ReasonUntested      call.Reason = "untested"
 	ReasonOtherOverload call.Reason = "overloadElsewhere"
+	ReasonWithinChance  call.Reason = "withinChance"
 	ReasonConflict      call.Reason = "conflict"
 	ReasonInvalid       call.Reason = "invalid"
 	ReasonNoTrialNode   call.Reason = "noTrialNode"
