Resume the backend server after a restart from a row and one status check

An acknowledged leaving was forgotten with the process too. Change: service resume keeps the process and its leaving in a row of the store, written before a leaving is acknowledged (at most 400 ms), and reads it at start; one status check must show the same process. Restored processes count their heartbeats on.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -220,6 +220,24 @@
 	return known
 }
 
+// Past returns what must be known of the backend server after a restart of the node, false if nothing.
+func (g *Guard) Past(now time.Time) (beat.Past, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	return g.backend.Past(now)
+}
+
+// Resume takes in what was known before a restart of the node, and reports whether the backend server is ready by it.
+func (g *Guard) Resume(now time.Time, past beat.Past, alive bool) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	resumed := g.backend.Resume(now, past, alive)
+	g.follow(now)
+
+	return resumed
+}
+
 // watch loses a backend server that has gone silent.
 func (g *Guard) watch(ctx context.Context) {
 	defer close(g.ended)
--- /dev/null
+++ b/internal/resume/resume.go
@@ -0,0 +1,270 @@
+package resume
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/pistachiotack/pistachiotack/internal/kernel"
+	"github.com/pistachiotack/pistachiotack/internal/store"
+	"github.com/pistachiotack/pistachiotack/pkg/beat"
+	"github.com/pistachiotack/pistachiotack/pkg/routes"
+)
+
+// Name is the name of the service.
+const Name = "resume"
+
+const (
+	// prefix begins the keys of rows, one for each node.
+	prefix = "backends/"
+	// probeTimeout bounds the status check of the backend server, which is on the same VM and idle after a restart.
+	probeTimeout = 500 * time.Millisecond
+	// routesWait is how long a start waits for the routes, which name the path of status checks.
+	routesWait = time.Second
+	// routesInterval is the time between looks for the routes.
+	routesInterval = 10 * time.Millisecond
+	// retryPause is the time between writes that failed; a busy table must not be asked faster by many nodes.
+	retryPause = time.Second
+	// leaveWait is how long the answer to a leaving backend server is held back until its row is written.
+	leaveWait = 400 * time.Millisecond
+)
+
+// Table keeps the rows.
+type Table interface {
+	Put(ctx context.Context, key string, value []byte, etag string) (string, error)
+	List(ctx context.Context, prefix, after string) ([]store.Row, error)
+}
+
+// Guard knows the backend server.
+type Guard interface {
+	// Past returns what must be known of it after a restart.
+	Past(now time.Time) (beat.Past, bool)
+	// Resume takes in what was known before the restart.
+	Resume(now time.Time, past beat.Past, alive bool) bool
+	// Probe returns the ID of the process that says at the path that it is well.
+	Probe(ctx context.Context, path string) (string, error)
+}
+
+// Holder knows the routes in force.
+type Holder interface {
+	Table() *routes.Table
+}
+
+// Resume is the kernel service.
+type Resume struct {
+	node    string
+	service string
+	log     *slog.Logger
+	table   Table
+	guard   Guard
+	holder  Holder
+	changed chan struct{}
+	cancel  context.CancelFunc
+
+	mu    sync.Mutex
+	saved beat.Past
+	// written is closed at each write, and made anew.
+	written chan struct{}
+}
+
+// New returns the service of the node beside a backend server of the service.
+func New(node, service string, log *slog.Logger) *Resume {
+	return &Resume{node: node, service: service, log: log, changed: make(chan struct{}, 1), written: make(chan struct{})}
+}
+
+// String returns the name of the service.
+func (*Resume) String() string {
+	return Name
+}
+
+// Start begins to bring back what the table knows, and to keep it up to date.
+func (r *Resume) Start(ctx context.Context, k *kernel.Kernel) (<-chan error, error) {
+	var err error
+	if r.table, err = kernel.Find[Table](k, store.Name); err != nil {
+		return nil, err
+	}
+	if r.guard, err = kernel.Find[Guard](k, "guard"); err != nil {
+		return nil, err
+	}
+	if r.holder, err = kernel.Find[Holder](k, "holder"); err != nil {
+		return nil, err
+	}
+	ctx, r.cancel = context.WithCancel(ctx)
+	done := make(chan error, 1)
+	go func() {
+		r.restore(ctx)
+		r.keep(ctx)
+		done <- nil
+	}()
+
+	return done, nil
+}
+
+// Stop ends the service.
+func (r *Resume) Stop(context.Context) error {
+	r.cancel()
+
+	return nil
+}
+
+// restore reads the row of the time before the restart.
+func (r *Resume) restore(ctx context.Context) {
+	past, err := r.read(ctx)
+	if err != nil {
+		r.log.LogAttrs(ctx, slog.LevelWarn, "backend server not resumed", slog.String("error", err.Error()))
+
+		return
+	}
+	if past.Report.ID == "" {
+		return
+	}
+	r.note(past)
+	alive, reason := false, "left"
+	if !past.Left {
+		alive, reason = r.alive(ctx, past.Report.ID)
+	}
+	resumed := r.guard.Resume(time.Now(), past, alive)
+	r.log.LogAttrs(ctx, slog.LevelInfo, "backend server remembered", slog.String("process", past.Report.String()),
+		slog.Time("at", past.At), slog.Bool("resumed", resumed), slog.String("reason", reason))
+}
+
+// read returns the node's row, nothing if there is none.
+func (r *Resume) read(ctx context.Context) (beat.Past, error) {
+	rows, err := r.table.List(ctx, r.key(), "")
+	if err != nil {
+		return beat.Past{}, err
+	}
+	for _, found := range rows {
+		if found.Key == r.key() {
+			return decode(found.Value)
+		}
+	}
+
+	return beat.Past{}, nil
+}
+
+func (r *Resume) key() string {
+	return prefix + r.node
+}
+
+// alive reports whether the process still answers, and why not.
+func (r *Resume) alive(ctx context.Context, id string) (bool, string) {
+	path := r.path(ctx)
+	if path == "" {
+		return false, "no path for status checks"
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	found, err := r.guard.Probe(ctx, path)
+	switch {
+	case err != nil:
+		return false, err.Error()
+	case found != id:
+		return false, "another process answers: " + found
+	default:
+		return true, "answers"
+	}
+}
+
+// path waits for the routes and returns the path of status checks, empty if none is known in time.
+func (r *Resume) path(ctx context.Context) string {
+	ctx, cancel := context.WithTimeout(ctx, routesWait)
+	defer cancel()
+	ticker := time.NewTicker(routesInterval)
+	defer ticker.Stop()
+	for {
+		if table := r.holder.Table(); table != nil {
+			return table.Health(r.service)
+		}
+		select {
+		case <-ctx.Done():
+			return ""
+		case <-ticker.C:
+		}
+	}
+}
+
+// Keep lets the row be written, and waits for that while the backend server leaves and the wait is short.
+func (r *Resume) Keep(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveWait)
+	defer cancel()
+	for {
+		past, kept, written := r.state()
+		if kept {
+			return
+		}
+		select {
+		case r.changed <- struct{}{}:
+		default:
+		}
+		if !past.Left {
+			return
+		}
+		select {
+		case <-written:
+		case <-ctx.Done():
+			r.log.LogAttrs(ctx, slog.LevelWarn, "leaving acknowledged before it was kept", slog.String("process", past.Report.String()))
+
+			return
+		}
+	}
+}
+
+// state returns what must be kept, whether the row says so, and a channel that the next write closes.
+func (r *Resume) state() (past beat.Past, kept bool, written <-chan struct{}) {
+	past, known := r.guard.Past(time.Now())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return past, !known || same(past, r.saved), r.written
+}
+
+// keep writes changes until the context ends.
+func (r *Resume) keep(ctx context.Context) {
+	failed := false
+	for ctx.Err() == nil {
+		var retry <-chan time.Time
+		if failed {
+			retry = time.After(retryPause)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.changed:
+		case <-retry:
+		}
+		err := r.save(ctx)
+		if err != nil && !failed && ctx.Err() == nil {
+			r.log.LogAttrs(ctx, slog.LevelWarn, "backend server not kept", slog.String("error", err.Error()))
+		}
+		failed = err != nil
+	}
+}
+
+// save writes the row if it differs from what must be kept.
+func (r *Resume) save(ctx context.Context) error {
+	past, kept, _ := r.state()
+	if kept {
+		return nil
+	}
+	text, err := encode(past)
+	if err != nil {
+		return err
+	}
+	if _, err = r.table.Put(ctx, r.key(), text, ""); err != nil {
+		return err
+	}
+	r.note(past)
+
+	return nil
+}
+
+// note remembers what the row says.
+func (r *Resume) note(past beat.Past) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.saved = past
+	close(r.written)
+	r.written = make(chan struct{})
+}
--- a/internal/routed/node.go
+++ b/internal/routed/node.go
@@ -17,6 +17,7 @@
 	"github.com/pistachiotack/pistachiotack/internal/kernel"
 	"github.com/pistachiotack/pistachiotack/internal/meter"
 	"github.com/pistachiotack/pistachiotack/internal/peers"
+	"github.com/pistachiotack/pistachiotack/internal/resume"
 	"github.com/pistachiotack/pistachiotack/internal/rules"
 	"github.com/pistachiotack/pistachiotack/internal/trace"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
@@ -146,6 +147,7 @@
 		demand.New(o.Service),
 		n.guard,
 		n.front,
+		resume.New(o.Name, o.Service, outside.Log),
 		admin.New(o.Operators, gossip.Name),
 	}
 
--- a/pkg/beat/beat_test.go
+++ b/pkg/beat/beat_test.go
@@ -114,3 +114,54 @@
 	require.Equal(t, beat.VerdictFormer, server.Hear(now, report("i-1", now.Add(-time.Minute).UnixMilli(), 23)))
 	require.Equal(t, beat.VerdictTaken, server.Hear(now, report("i-1", now.Add(time.Minute).UnixMilli(), 1)), "a later start under the same ID")
 }
+
+// The load is the restart of a node whose backend server runs on; its next heartbeat may be a whole interval away.
+func TestARestartedNodeKnowsTheProcessThatAnswers(t *testing.T) {
+	now := time.Now()
+	before := beat.NewServer(options)
+	_, known := before.Past(now)
+	require.False(t, known)
+	before.Hear(now, report("i-1", 100, 7))
+	past, known := before.Past(now)
+	require.True(t, known)
+
+	after := beat.NewServer(options)
+	require.False(t, after.Resume(now, past, false), "nothing answers, or another process")
+	require.Equal(t, beat.StateAbsent, after.State())
+	require.True(t, after.Resume(now, past, true))
+	require.Equal(t, beat.StateReady, after.State())
+	require.Equal(t, beat.VerdictLate, after.Hear(now, report("i-1", 100, 7)))
+	require.Equal(t, beat.VerdictTaken, after.Hear(now, report("i-1", 100, 8)))
+	require.Equal(t, beat.VerdictTaken, after.Hear(now, report("i-1", 200, 1)))
+
+	heard := beat.NewServer(options)
+	heard.Hear(now, report("i-2", 300, 1))
+	require.False(t, heard.Resume(now, past, true), "a heartbeat since the restart goes first")
+	require.Equal(t, "i-2", heard.Report().ID)
+}
+
+// A leaving that was acknowledged binds after a restart too, whatever late heartbeat comes.
+func TestARestartedNodeKnowsWhoLeft(t *testing.T) {
+	now := time.Now()
+	for name, leave := range map[string]func(s *beat.Server){
+		"draining": func(s *beat.Server) {
+			leaving := report("i-1", 100, 8)
+			leaving.Draining = true
+			s.Hear(now, leaving)
+		},
+		"goodbye":               func(s *beat.Server) { s.Hear(now, report("i-1", 100, 8)); s.Leave(now, "i-1") },
+		"goodbye of an unknown": func(s *beat.Server) { s.Leave(now, "i-1") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			before := beat.NewServer(options)
+			leave(before)
+			past, known := before.Past(now)
+			require.True(t, known)
+			after := beat.NewServer(options)
+			require.False(t, after.Resume(now, past, true))
+			require.Equal(t, beat.VerdictFormer, after.Hear(now, report("i-1", 100, 9)))
+			require.Equal(t, beat.StateAbsent, after.State())
+			require.Equal(t, beat.VerdictTaken, after.Hear(now, report("i-2", 200, 1)))
+		})
+	}
+}
--- a/pkg/beat/server.go
+++ b/pkg/beat/server.go
@@ -121,10 +121,7 @@
 // Leave takes the word of a server that it has left, and reports whether it was the one beside the node.
 func (s *Server) Leave(now time.Time, id string) bool {
 	if s.state == StateAbsent || s.report.ID != id {
-		if len(s.goodbyes) >= leftMost {
-			clear(s.goodbyes)
-		}
-		s.goodbyes[id] = now
+		s.noteGoodbye(id, now)
 
 		return false
 	}
