--- a/pkg/trial/judge.go
+++ b/pkg/trial/judge.go
@@ -95,7 +95,8 @@
 
 // Judge weighs what was seen since the trial began.
 func Judge(guard Guard, elapsed time.Duration, views []View) Verdict {
-	seen, undecided, outside := false, false, ""
+	var below below
+	seen := false
 	for _, view := range views {
 		enough := view.Trial.Offered >= minEvidence
 		seen = seen || enough
@@ -106,8 +107,7 @@
 			return Verdict{Action: ActionRefuse, Reason: ReasonGuardBroken, Detail: view.describe(guard)}
 		}
 		if enough {
-			outside = view.describe(guard)
-			undecided = undecided || view.Control.Share() >= guard.Goodput
+			below.add(guard, view)
 		}
 	}
 	switch {
@@ -115,17 +115,36 @@
 		return Verdict{Action: ActionWait}
 	case !seen:
 		return judgeUnseen(guard, elapsed, views)
-	case undecided && elapsed < patience*guard.Time:
-		return Verdict{Action: ActionWait}
-	case undecided:
-		return Verdict{Action: ActionAccept, Reason: ReasonWithinChance, Detail: outside}
-	case outside != "":
-		return Verdict{Action: ActionAccept, Reason: ReasonOtherOverload, Detail: outside}
+	case below.detail != "":
+		return below.judge(guard, elapsed)
 	default:
 		return Verdict{Action: ActionAccept, Reason: ReasonGuardHeld, Detail: describeAll(guard, views)}
 	}
 }
 
+// below gathers the places where the trial falls short of the guard, yet is not clearly worse than the rest.
+type below struct {
+	detail string
+	// chance says that the rest keeps the guard, so that only chance explains the trial.
+	chance bool
+}
+
+func (b *below) add(guard Guard, view View) {
+	b.detail = view.describe(guard)
+	b.chance = b.chance || view.Control.Share() >= guard.Goodput
+}
+
+func (b *below) judge(guard Guard, elapsed time.Duration) Verdict {
+	switch {
+	case !b.chance:
+		return Verdict{Action: ActionAccept, Reason: ReasonOtherOverload, Detail: b.detail}
+	case elapsed < patience*guard.Time:
+		return Verdict{Action: ActionWait}
+	default:
+		return Verdict{Action: ActionAccept, Reason: ReasonWithinChance, Detail: b.detail}
+	}
+}
+
 func judgeUnseen(guard Guard, elapsed time.Duration, views []View) Verdict {
 	detail := fmt.Sprintf("fewer than %d important requests on trial; %s", minEvidence, describeAll(guard, views))
 	switch {
