Resume admission levels and call trees after a restart

Change: the row from which a node resumes also keeps levels, origins and needs of routes; it is written anew when a level moves by 0.15 or a route is learned, every 6 s at most on average; levels older than a minute are not taken. Refusals of the guard say how full the queue was. Tests: TestARestartedNodeAdmitsAsBefore and others.

--- /dev/null
+++ b/internal/demand/memory_test.go
@@ -0,0 +1,84 @@
+package demand_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiotack/pistachiotack/internal/demand"
+	"github.com/pistachiotack/pistachiotack/internal/wire"
+	"github.com/pistachiotack/pistachiotack/pkg/fanout"
+	"github.com/pistachiotack/pistachiotack/pkg/shed"
+)
+
+// learned returns what is known of a route whose call trees need a service that is full.
+func learned(now time.Time) *demand.Demand {
+	d := demand.New("logboek")
+	d.Learn(now, wire.Hop{Route: "read", Service: "logboek"}, wire.Report{
+		Slots:   10,
+		Belief:  1,
+		Origin:  fanout.OriginClients,
+		Learned: true,
+		Needs:   []fanout.Need{{Service: "alarm", Calls: 8}},
+		Levels:  []shed.Level{{Service: "alarm", Value: 0.4}},
+	})
+	d.Learn(now, wire.Hop{Route: "look", Service: "alarm"}, wire.Report{Slots: 10, Belief: 0.4})
+
+	return d
+}
+
+func unimportant() shed.Demand {
+	return shed.Demand{Priority: 2, Lowest: 2, Draw: 0.5}
+}
+
+// The load is a surge during which all nodes are killed: what comes right after the restart must not be admitted blindly.
+func TestARestartedNodeAdmitsAsBefore(t *testing.T) {
+	now := time.Now()
+	memory := learned(now).Memory(now)
+	later := now.Add(2 * time.Second)
+
+	fresh := demand.New("logboek")
+	require.Equal(t, fanout.OriginUnknown, fresh.Sent("read", "logboek"))
+	require.True(t, fresh.Decide(later, "read", "logboek", unimportant()).Admitted)
+
+	resumed := demand.New("logboek")
+	resumed.Resume(later, memory, now)
+	require.Equal(t, fanout.OriginClients, resumed.Sent("read", "logboek"))
+	decision := resumed.Decide(later, "read", "logboek", unimportant())
+	require.False(t, decision.Admitted)
+	require.Equal(t, "alarm", decision.Service)
+	require.True(t, resumed.Decide(later, "read", "logboek", shed.Demand{Priority: 0, Lowest: 2, Draw: 0.5}).Admitted)
+}
+
+func TestOldLevelsAreNotResumed(t *testing.T) {
+	now := time.Now()
+	memory := learned(now).Memory(now)
+	later := now.Add(2 * time.Minute)
+	resumed := demand.New("logboek")
+	resumed.Resume(later, memory, now)
+	require.True(t, resumed.Decide(later, "read", "logboek", unimportant()).Admitted)
+	require.Equal(t, fanout.OriginClients, resumed.Sent("read", "logboek"), "where requests come from does not age")
+}
+
+func TestWhatWasLearnedSinceGoesFirst(t *testing.T) {
+	now := time.Now()
+	memory := learned(now).Memory(now)
+	resumed := demand.New("logboek")
+	resumed.Learn(now, wire.Hop{Route: "read", Service: "logboek"}, wire.Report{
+		Slots: 10, Belief: 1, Origin: fanout.OriginServers, Learned: true, Levels: []shed.Level{{Service: "alarm", Value: 1}},
+	})
+	resumed.Resume(now, memory, now)
+	require.Equal(t, fanout.OriginServers, resumed.Sent("read", "logboek"))
+	require.True(t, resumed.Decide(now, "read", "logboek", unimportant()).Admitted)
+}
+
+func TestOnlyChangesOfConsequenceAreKept(t *testing.T) {
+	now := time.Now()
+	memory := learned(now).Memory(now)
+	require.True(t, memory.Near(learned(now).Memory(now)))
+	moved := learned(now)
+	moved.Learn(now.Add(time.Second), wire.Hop{Route: "look", Service: "alarm"}, wire.Report{Slots: 10, Belief: 0.9})
+	require.False(t, moved.Memory(now.Add(time.Second)).Near(memory))
+	require.False(t, demand.New("logboek").Memory(now).Near(memory))
+}
--- a/internal/guard/run.go
+++ b/internal/guard/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"time"
 
@@ -265,6 +266,15 @@
 	return g.demand.Describe(time.Now(), x.hop.Key(), report)
 }
 
+// describeLoad returns what a refusal is decided by.
+func (g *Guard) describeLoad() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	load := g.queue.Load()
+
+	return fmt.Sprintf("running %d, waiting %d, slots %d, %s", load.Running, load.Waiting, load.Slots, g.backend.State())
+}
+
 func (x *execution) log(report wire.Report) {
 	x.guard.metrics.Tagged(map[string]string{"reason": string(report.Reason)}).Counter("refused").Inc(1)
 	x.guard.tracer.Decide(trace.Decision{
@@ -276,6 +286,7 @@
 		Rank:     call.Rank(x.hop.Rank),
 		Outcome:  report.Outcome,
 		Reason:   report.Reason,
+		Detail:   x.guard.describeLoad(),
 		Took:     time.Since(x.started),
 		Revision: x.guard.holder.Revision(),
 	})
--- a/internal/resume/doc.go
+++ b/internal/resume/doc.go
@@ -1,2 +1,3 @@
-// Package resume keeps on the platform what a node must know of its backend server after a restart, and brings it back.
+// Package resume keeps on the platform what a node must know after a restart, of its backend server and of call trees, and brings
+// it back.
 package resume
--- a/internal/resume/past.go
+++ b/internal/resume/past.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/pistachiotack/pistachiotack/internal/demand"
 	"github.com/pistachiotack/pistachiotack/pkg/beat"
 )
 
@@ -20,31 +21,42 @@
 	Slots    int       `json:"slots"`
 	Left     bool      `json:"left,omitempty"`
 	At       time.Time `json:"at"`
+	// Demand is what was known of call trees at the time KeptAt.
+	Demand demand.Memory `json:"demand"`
+	KeptAt time.Time     `json:"keptAt"`
 }
 
-func encode(past beat.Past) ([]byte, error) {
-	r := past.Report
+// state is all that is kept.
+type state struct {
+	past   beat.Past
+	demand demand.Memory
+	keptAt time.Time
+}
+
+func encode(s state) ([]byte, error) {
+	past, r := s.past, s.past.Report
 	text, err := json.Marshal(row{
 		ID: r.ID, Service: r.Service, Address: r.Address, Born: r.Born, Sequence: r.Sequence, Slots: r.Slots,
-		Left: past.Left, At: past.At,
+		Left: past.Left, At: past.At, Demand: s.demand, KeptAt: s.keptAt,
 	})
 
-	return text, errors.Wrap(err, "encode the backend server's row")
+	return text, errors.Wrap(err, "encode the node's row")
 }
 
-func decode(text []byte) (beat.Past, error) {
+func decode(text []byte) (state, error) {
 	var r row
 	if err := json.Unmarshal(text, &r); err != nil {
-		return beat.Past{}, errors.Wrap(err, "decode the backend server's row")
+		return state{}, errors.Wrap(err, "decode the node's row")
 	}
-
-	return beat.Past{
+	past := beat.Past{
 		Report: beat.Report{
 			ID: r.ID, Service: r.Service, Address: r.Address, Born: r.Born, Sequence: r.Sequence, Slots: r.Slots,
 		},
 		Left: r.Left,
 		At:   r.At,
-	}, nil
+	}
+
+	return state{past: past, demand: r.Demand, keptAt: r.KeptAt}, nil
 }
 
 // same reports whether two pasts have the same consequences after a restart.
--- a/internal/resume/resume.go
+++ b/internal/resume/resume.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/pistachiotack/pistachiotack/internal/demand"
 	"github.com/pistachiotack/pistachiotack/internal/kernel"
 	"github.com/pistachiotack/pistachiotack/internal/store"
 	"github.com/pistachiotack/pistachiotack/pkg/beat"
@@ -26,6 +28,8 @@
 	routesInterval = 10 * time.Millisecond
 	// retryPause is the time between writes that failed; a busy table must not be asked faster by many nodes.
 	retryPause = time.Second
+	// demandInterval is the mean time between looks at what is known of call trees.
+	demandInterval = 6 * time.Second
 	// leaveWait is how long the answer to a leaving backend server is held back until its row is written.
 	leaveWait = 400 * time.Millisecond
 )
@@ -46,6 +50,12 @@
 	Probe(ctx context.Context, path string) (string, error)
 }
 
+// Demand knows the call trees.
+type Demand interface {
+	Memory(now time.Time) demand.Memory
+	Resume(now time.Time, memory demand.Memory, at time.Time)
+}
+
 // Holder knows the routes in force.
 type Holder interface {
 	Table() *routes.Table
@@ -59,11 +69,12 @@
 	table   Table
 	guard   Guard
 	holder  Holder
+	demand  Demand
 	changed chan struct{}
 	cancel  context.CancelFunc
 
 	mu    sync.Mutex
-	saved beat.Past
+	saved state
 	// written is closed at each write, and made anew.
 	written chan struct{}
 }
@@ -87,6 +98,9 @@
 	if r.guard, err = kernel.Find[Guard](k, "guard"); err != nil {
 		return nil, err
 	}
+	if r.demand, err = kernel.Find[Demand](k, demand.Name); err != nil {
+		return nil, err
+	}
 	if r.holder, err = kernel.Find[Holder](k, "holder"); err != nil {
 		return nil, err
 	}
@@ -110,16 +124,18 @@
 
 // restore reads the row of the time before the restart.
 func (r *Resume) restore(ctx context.Context) {
-	past, err := r.read(ctx)
+	kept, err := r.read(ctx)
 	if err != nil {
 		r.log.LogAttrs(ctx, slog.LevelWarn, "backend server not resumed", slog.String("error", err.Error()))
 
 		return
 	}
+	past := kept.past
 	if past.Report.ID == "" {
 		return
 	}
-	r.note(past)
+	r.note(kept)
+	r.demand.Resume(time.Now(), kept.demand, kept.keptAt)
 	alive, reason := false, "left"
 	if !past.Left {
 		alive, reason = r.alive(ctx, past.Report.ID)
@@ -130,10 +146,10 @@
 }
 
 // read returns the node's row, nothing if there is none.
-func (r *Resume) read(ctx context.Context) (beat.Past, error) {
+func (r *Resume) read(ctx context.Context) (state, error) {
 	rows, err := r.table.List(ctx, r.key(), "")
 	if err != nil {
-		return beat.Past{}, err
+		return state{}, err
 	}
 	for _, found := range rows {
 		if found.Key == r.key() {
@@ -141,7 +157,7 @@
 		}
 	}
 
-	return beat.Past{}, nil
+	return state{}, nil
 }
 
 func (r *Resume) key() string {
@@ -190,7 +206,7 @@
 	ctx, cancel := context.WithTimeout(ctx, leaveWait)
 	defer cancel()
 	for {
-		past, kept, written := r.state()
+		past, kept, written := r.past()
 		if kept {
 			return
 		}
@@ -211,60 +227,78 @@
 	}
 }
 
-// state returns what must be kept, whether the row says so, and a channel that the next write closes.
-func (r *Resume) state() (past beat.Past, kept bool, written <-chan struct{}) {
+// past returns what must be kept of the backend server, whether the row says so, and a channel that the next write closes.
+func (r *Resume) past() (past beat.Past, kept bool, written <-chan struct{}) {
 	past, known := r.guard.Past(time.Now())
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	return past, !known || same(past, r.saved), r.written
+	return past, !known || same(past, r.saved.past), r.written
 }
 
 // keep writes changes until the context ends.
 func (r *Resume) keep(ctx context.Context) {
 	failed := false
 	for ctx.Err() == nil {
-		var retry <-chan time.Time
+		wait := demandInterval/2 + rand.N(demandInterval)
 		if failed {
-			retry = time.After(retryPause)
+			wait = retryPause
 		}
+		timer, demandDue := time.NewTimer(wait), false
 		select {
 		case <-ctx.Done():
-			return
 		case <-r.changed:
-		case <-retry:
+		case <-timer.C:
+			demandDue = true
+		}
+		timer.Stop()
+		if ctx.Err() != nil {
+			return
 		}
-		err := r.save(ctx)
+		err := r.save(ctx, demandDue)
 		if err != nil && !failed && ctx.Err() == nil {
-			r.log.LogAttrs(ctx, slog.LevelWarn, "backend server not kept", slog.String("error", err.Error()))
+			r.log.LogAttrs(ctx, slog.LevelWarn, "row not kept", slog.String("error", err.Error()))
 		}
 		failed = err != nil
 	}
 }
 
-// save writes the row if it differs from what must be kept.
-func (r *Resume) save(ctx context.Context) error {
-	past, kept, _ := r.state()
-	if kept {
+// save writes the row if it differs from what must be kept; what is known of call trees counts only where it is due.
+func (r *Resume) save(ctx context.Context, demandDue bool) error {
+	now := time.Now()
+	past, kept, _ := r.past()
+	if past.Report.ID == "" {
 		return nil
 	}
-	text, err := encode(past)
+	next := state{past: past, demand: r.demand.Memory(now), keptAt: now}
+	if kept && (!demandDue || r.near(next)) {
+		return nil
+	}
+	text, err := encode(next)
 	if err != nil {
 		return err
 	}
 	if _, err = r.table.Put(ctx, r.key(), text, ""); err != nil {
 		return err
 	}
-	r.note(past)
+	r.note(next)
 
 	return nil
 }
 
+// near reports whether what is known of call trees is much the same as the row says.
+func (r *Resume) near(next state) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	return next.demand.Near(r.saved.demand)
+}
+
 // note remembers what the row says.
-func (r *Resume) note(past beat.Past) {
+func (r *Resume) note(kept state) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.saved = past
+	r.saved = kept
 	close(r.written)
 	r.written = make(chan struct{})
 }
--- a/pkg/fanout/needs.go
+++ b/pkg/fanout/needs.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 )
 
@@ -14,8 +15,8 @@
 
 // Need is how many calls to a service one execution causes in its whole call tree.
 type Need struct {
-	Service string
-	Calls   float64
+	Service string  `json:"service"`
+	Calls   float64 `json:"calls"`
 }
 
 // Trees holds what is known of the call trees of routes; its owner serialises calls.
@@ -33,6 +34,11 @@
 	t.needs[route] = needs
 }
 
+// All returns the needs of each route that is known; it is a copy, the needs themselves must not be changed.
+func (t *Trees) All() map[string][]Need {
+	return maps.Clone(t.needs)
+}
+
 // Needs returns what an execution of the route needs below it, nil if unknown or nothing.
 func (t *Trees) Needs(route string) []Need {
 	return t.needs[route]
--- a/pkg/shed/board.go
+++ b/pkg/shed/board.go
@@ -79,6 +79,16 @@
 	return Level{Service: service, Value: b.Level(now, service)}, known
 }
 
+// All returns the levels of all services of which there were reports.
+func (b *Board) All(now time.Time) []Level {
+	found := make([]Level, 0, len(b.levels))
+	for service := range b.levels {
+		found = append(found, Level{Service: service, Value: b.Level(now, service)})
+	}
+
+	return found
+}
+
 // Pressed returns the levels of the services that do not admit everything, the lowest first and no more than the number given.
 func (b *Board) Pressed(now time.Time, most int) []Level {
 	var found []Level
--- a/pkg/shed/level.go
+++ b/pkg/shed/level.go
@@ -39,6 +39,11 @@
 	return &Controller{integral: 1, at: now, heard: now}
 }
 
+// Resume goes on from the level that the server had before its node was restarted.
+func (c *Controller) Resume(level float64) {
+	c.integral = clamp(level)
+}
+
 // Observe takes the present load, calls that run or wait per slot.
 func (c *Controller) Observe(now time.Time, load float64) {
 	passed := now.Sub(c.at)
