--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -33,7 +33,7 @@
 	Node     NodeCommand     `cmd:"" help:"Run the node beside a backend server."`
 	Sidecar  SidecarCommand  `cmd:"" help:"Run the node beside a backend server on the users' platform, with its settings file."`
 	Demo     DemoCommand     `cmd:"" help:"Run one of the examples in this process, with a surge, and show what became of it."`
-	Explain  ExplainCommand  `cmd:"" help:"Show the decisions about an operation or a root request."`
+	Explain  ExplainCommand  `cmd:"" help:"Show the decisions about an operation, a root request or a platform's request, from nodes or from their logs."`
 	Settings SettingsCommand `cmd:"" help:"Show and edit the settings tree over a node's operators' listener."`
 	Status   StatusCommand   `cmd:"" help:"Show the fleet as one node sees it: members, revision, and what is degraded and why."`
 	Platform PlatformCommand `cmd:"" help:"Run a small stand-in of the table service and object store, for tests and local use."`
@@ -43,6 +43,7 @@
 // Env is what each command runs in.
 type Env struct {
 	Context  context.Context
+	In       io.Reader
 	Out      io.Writer
 	Err      io.Writer
 	Examples fs.FS
@@ -53,7 +54,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 
-	return Run(Env{Context: ctx, Out: os.Stdout, Err: os.Stderr, Examples: examples}, args)
+	return Run(Env{Context: ctx, In: os.Stdin, Out: os.Stdout, Err: os.Stderr, Examples: examples}, args)
 }
 
 // Run parses the command line, runs the command and returns the exit code.
--- a/internal/cmds/expl.go
+++ b/internal/cmds/expl.go
@@ -7,13 +7,13 @@
 	"io"
 	"net/http"
 	"net/url"
+	"os"
 	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/pistachiotack/pistachiotack/internal/admin"
-	"github.com/pistachiotack/pistachiotack/internal/trace"
 )
 
 const operatorTimeout = 5 * time.Second
@@ -21,24 +21,43 @@
 // ErrOperator is returned when a node's operators' listener gives no usable answer.
 var ErrOperator = errors.New("operators' listener gave no usable answer")
 
-// ExplainCommand collects the decisions about one ID over nodes.
+// ExplainCommand collects the decisions about one ID over nodes and logs.
 type ExplainCommand struct {
-	ID   string   `arg:"" help:"Operation or root ID, as in Pistachiotack-Operation."`
-	Node []string `help:"Operators' address of a node, may be repeated." placeholder:"IP:PORT" required:""`
+	ID   string   `arg:"" help:"ID of an operation, of its root or of a request."`
+	Node []string `help:"Operators' address of a node, may be repeated." placeholder:"IP:PORT"`
+	File []string `help:"Log of a node, - for standard input, may be repeated." placeholder:"FILE"`
 	JSON bool     `help:"Print JSON lines." name:"json"`
 }
 
-// Run prints the decisions of all named nodes in the order of their time.
+// Validate refuses a command line that names nothing to look in.
+func (c ExplainCommand) Validate() error {
+	if len(c.Node)+len(c.File) == 0 {
+		return errors.New("name a node with --node or a log with --file")
+	}
+
+	return nil
+}
+
+// Run prints the decisions of all named nodes and logs in the order of their time.
 func (c ExplainCommand) Run(env Env) error {
-	var all []trace.Decision
+	var all []located
 	for _, address := range c.Node {
 		var explanation admin.Explanation
 		if err := askOperator(env.Context, address, "/explain/"+url.PathEscape(c.ID), &explanation); err != nil {
 			return err
 		}
-		all = append(all, explanation.Decisions...)
+		for _, decision := range explanation.Decisions {
+			all = append(all, located{Node: address, Decision: decision})
+		}
+	}
+	for _, name := range c.File {
+		found, err := c.search(env, name)
+		if err != nil {
+			return err
+		}
+		all = append(all, found...)
 	}
-	slices.SortStableFunc(all, func(a, b trace.Decision) int { return a.Time.Compare(b.Time) })
+	slices.SortStableFunc(all, func(a, b located) int { return a.Time.Compare(b.Time) })
 	for _, decision := range all {
 		if err := c.print(env.Out, decision); err != nil {
 			return err
@@ -48,12 +67,34 @@
 	return nil
 }
 
-func (c ExplainCommand) print(out io.Writer, d trace.Decision) error {
+// search returns the decisions about the ID in a log, and says on standard error how many lines of decisions it could not read.
+func (c ExplainCommand) search(env Env, name string) ([]located, error) {
+	in := env.In
+	if name != "-" {
+		file, err := os.Open(name)
+		if err != nil {
+			return nil, errors.Wrap(err, "open log")
+		}
+		defer func() { _ = file.Close() }()
+		in = file
+	}
+	found, unreadable, err := searchLog(in, c.ID)
+	if err != nil {
+		return nil, errors.Wrapf(err, "read log %s", name)
+	}
+	if unreadable > 0 {
+		fmt.Fprintf(env.Err, "%s: %d lines of decisions about %s could not be read\n", name, unreadable, c.ID)
+	}
+
+	return found, nil
+}
+
+func (c ExplainCommand) print(out io.Writer, d located) error {
 	if c.JSON {
 		return json.NewEncoder(out).Encode(d)
 	}
-	_, err := fmt.Fprintf(out, "%s %-8s %-12s %-10s chosen=%s outcome=%s reason=%s rank=%d took=%s revision=%d %s\n",
-		d.Time.Format(time.RFC3339Nano), d.Step, d.Service, d.Kind, d.Chosen, d.Outcome, d.Reason, d.Rank, d.Took, d.Revision, d.Detail)
+	_, err := fmt.Fprintf(out, "%s %s %-8s %-12s %-10s chosen=%s outcome=%s reason=%s rank=%d took=%s revision=%d %s\n",
+		d.Time.Format(time.RFC3339Nano), d.Node, d.Step, d.Service, d.Kind, d.Chosen, d.Outcome, d.Reason, d.Rank, d.Took, d.Revision, d.Detail)
 
 	return err
 }
--- a/internal/resume/past.go
+++ b/internal/resume/past.go
@@ -33,7 +33,21 @@
 	keptAt time.Time
 }
 
+// rowMost is the size in bytes from which a row is kept without what is known of call trees; the platform takes 64 KiB.
+const rowMost = 32 << 10
+
+// encode returns the row, without what is known of call trees if it would be too long.
 func encode(s state) ([]byte, error) {
+	text, err := marshal(s)
+	if err != nil || len(text) <= rowMost {
+		return text, err
+	}
+	s.demand = demand.Memory{}
+
+	return marshal(s)
+}
+
+func marshal(s state) ([]byte, error) {
 	past, r := s.past, s.past.Report
 	text, err := json.Marshal(row{
 		ID: r.ID, Service: r.Service, Address: r.Address, Born: r.Born, Sequence: r.Sequence, Slots: r.Slots,
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -52,6 +52,9 @@
 	Revision   uint64        `json:"revision"`
 }
 
+// Message is the message of log lines that hold a decision.
+const Message = "decision"
+
 // Batches of lines are written this often, and earlier when the buffer is half full.
 const batchInterval = 25 * time.Millisecond
 
@@ -217,7 +220,7 @@
 		line = append(line, slog.Duration("took", d.Took))
 	}
 	line = append(line, slog.Uint64("revision", d.Revision))
-	l.lines.LogAttrs(context.Background(), slog.LevelInfo, "decision", line...)
+	l.lines.LogAttrs(context.Background(), slog.LevelInfo, Message, line...)
 }
 
 // maxAttrs is the number of attributes of a line that states everything.
