Let nodes that start together find each other at once

Cause: gossip's first round comes before the contacts are read from the store; a node that is alone tries a contact again only a second later, one at a time.

--- a/internal/gossip/contact.go
+++ b/internal/gossip/contact.go
@@ -81,6 +81,8 @@
 		}
 	}
 
+	g.wake()
+
 	return g.keepOwn(ctx, own, listed)
 }
 
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -235,12 +235,17 @@
 	now := time.Now()
 	err := step(now)
 	g.renew(now)
+	g.wake()
+
+	return err
+}
+
+// wake lets the tick loop pass news on at once.
+func (g *Gossip) wake() {
 	select {
 	case g.changes <- struct{}{}:
 	default:
 	}
-
-	return err
 }
 
 func fixedEntries(targets []config.Target) []member.Entry {
--- a/pkg/member/fleet.go
+++ b/pkg/member/fleet.go
@@ -141,6 +141,9 @@
 	if excess := len(f.contacts) - maxContacts; excess > 0 {
 		f.contacts = slices.Delete(f.contacts, 0, excess)
 	}
+	if len(addresses) > 0 && f.alone() {
+		f.schedule.revisit = time.Time{}
+	}
 }
 
 const maxContacts = 64
--- a/pkg/member/fleet_test.go
+++ b/pkg/member/fleet_test.go
@@ -1,6 +1,7 @@
 package member_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -264,6 +265,35 @@
 	require.Empty(t, w.disagreement())
 }
 
+// The load is a fleet whose nodes are all killed and started again at once, with no more than the contacts of before.
+func TestNodesThatStartTogetherKnowEachOtherWithinASecond(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newWorld(seed, member.Options{})
+		for i := range 18 {
+			w.add(fmt.Sprintf("n%04d", i), fmt.Sprint("dc", i%4))
+		}
+		for _, n := range w.nodes {
+			n.start(member.StateServing)
+		}
+		w.run(300*time.Millisecond, nil)
+		for _, n := range w.nodes {
+			n.fleet.AddContacts([]string{"n0000", "n0001", "n0002", "n0003", "n0004", "n0005", "n0006", "n0007"})
+		}
+		all := func() bool {
+			for _, n := range w.nodes {
+				for _, other := range w.nodes {
+					if n.view(other.entry.ID) == nil {
+						return false
+					}
+				}
+			}
+
+			return true
+		}
+		require.True(t, w.run(time.Second, all), "seed %d", seed)
+	}
+}
+
 func TestOwnLifeIsChecked(t *testing.T) {
 	now := epoch
 	fleet := member.New(member.Entry{ID: "a", State: member.StateStarting}, member.Options{}, now)
--- a/pkg/member/tick.go
+++ b/pkg/member/tick.go
@@ -13,7 +13,7 @@
 	if due(&f.schedule.probe, now, f.jitter(f.options.Probe)) {
 		actions = append(actions, f.probe(now)...)
 	}
-	if due(&f.schedule.sync, now, f.jitter(f.options.Sync)) {
+	if due(&f.schedule.sync, now, f.syncPeriod(now)) {
 		actions = append(actions, f.syncNear(now)...)
 	}
 	if due(&f.schedule.relay, now, f.jitter(f.options.Relay)) {
@@ -122,10 +122,25 @@
 	})
 }
 
-// syncNear compares digests with one node of the same data centre.
+// youth is how long a new node compares digests in each round, as many may have started with it and know as little.
+const youth = 2 * time.Second
+
+func (f *Fleet) young(now time.Time) bool {
+	return now.Sub(f.start) < youth
+}
+
+func (f *Fleet) syncPeriod(now time.Time) time.Duration {
+	if f.young(now) {
+		return f.options.Gossip
+	}
+
+	return f.jitter(f.options.Sync)
+}
+
+// syncNear compares digests with one node of the same data centre, of any while the node is young.
 func (f *Fleet) syncNear(now time.Time) []Action {
 	near := f.pick(func(e *Entry) bool { return callable(e) && e.DataCentre == f.self.DataCentre })
-	if near == nil {
+	if near == nil || f.young(now) {
 		near = f.pick(callable)
 	}
 	if near == nil {
@@ -151,7 +166,7 @@
 // revisit tries a contact at which no member is known, and a node that is thought dead.
 func (f *Fleet) revisit(now time.Time) []Action {
 	var actions []Action
-	if address := f.strangerContact(); address != "" {
+	for _, address := range f.strangerContacts() {
 		actions = append(actions, f.syncWith(now, "", address))
 	}
 	if dead := f.pick(func(e *Entry) bool { return e.State == StateDead && e.Control != "" }); dead != nil {
@@ -161,8 +176,8 @@
 	return actions
 }
 
-// strangerContact returns a random contact that is no living member's address, empty if there is none.
-func (f *Fleet) strangerContact() string {
+// strangerContacts returns a random contact that is no living member's address, a few of them for a node that is alone.
+func (f *Fleet) strangerContacts() []string {
 	known := map[string]bool{}
 	for _, r := range f.records {
 		if alive(r.entry) {
@@ -175,11 +190,13 @@
 			strangers = append(strangers, address)
 		}
 	}
-	if len(strangers) == 0 {
-		return ""
+	f.random.Shuffle(len(strangers), func(i, j int) { strangers[i], strangers[j] = strangers[j], strangers[i] })
+	most := 1
+	if f.alone() {
+		most = f.options.Fanout
 	}
 
-	return strangers[f.random.IntN(len(strangers))]
+	return strangers[:min(len(strangers), most)]
 }
 
 // sweep drops ended entries that are old enough.
