--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -50,7 +50,7 @@
 	result := r.send(c, choice.Target, paid.Grant, answer).of(r.policy, choice.Target)
 	result.Took = time.Since(now)
 	result.Silent = result.Outcome == call.OutcomeUnknown && result.Took > r.policy.Progress && givenUp(result.Reason)
-	r.book(paid, result, answer)
+	r.settle(paid, result, answer)
 	r.done(result)
 	r.decide(trace.Decision{Step: trace.StepAttempt, Chosen: choice.Target.ID, Outcome: result.Outcome, Reason: result.Reason})
 	if result.Outcome == call.OutcomeRan {
@@ -69,8 +69,8 @@
 	})
 }
 
-// book settles the credits of an attempt; those of a lost answer are lost.
-func (r *request) book(paid credit.Paid, result Result, answer *relay.Answer) {
+// settle accounts for the credits of an attempt; those of a lost answer are lost.
+func (r *request) settle(paid credit.Paid, result Result, answer *relay.Answer) {
 	ledger := r.scope.Ledger
 	switch {
 	case result.HasFeedback:
--- a/internal/entry/courier.go
+++ b/internal/entry/cancel.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	courierWorkers = 4
-	courierQueue   = 1024
+	cancelWorkers = 4
+	cancelQueue   = 1024
 )
 
 // Caller asks other nodes on the control listener.
@@ -18,23 +18,23 @@
 	Call(ctx context.Context, address, method string, args, reply any) error
 }
 
-type errand struct {
+type cancellation struct {
 	address string
 	attempt fence.Attempt
 }
 
-// courier tells nodes of attempts for which nobody waits any more, should the closed connection not tell them.
-type courier struct {
+// canceller tells nodes of attempts for which nobody waits any more, should the closed connection not tell them.
+type canceller struct {
 	control Caller
-	queue   chan errand
+	queue   chan cancellation
 	ended   chan struct{}
 	stop    context.CancelFunc
 }
 
-func newCourier(control Caller) *courier {
+func newCanceller(control Caller) *canceller {
 	ctx, stop := context.WithCancel(context.Background())
-	k := &courier{control: control, queue: make(chan errand, courierQueue), ended: make(chan struct{}, courierWorkers), stop: stop}
-	for range courierWorkers {
+	k := &canceller{control: control, queue: make(chan cancellation, cancelQueue), ended: make(chan struct{}, cancelWorkers), stop: stop}
+	for range cancelWorkers {
 		go k.run(ctx)
 	}
 
@@ -42,14 +42,14 @@
 }
 
 // cancel queues the message; a full queue drops it, as the deadline ends the attempt in any case.
-func (k *courier) cancel(target member.Entry, attempt fence.Attempt) {
+func (k *canceller) cancel(target member.Entry, attempt fence.Attempt) {
 	select {
-	case k.queue <- errand{address: target.Control, attempt: attempt}:
+	case k.queue <- cancellation{address: target.Control, attempt: attempt}:
 	default:
 	}
 }
 
-func (k *courier) run(ctx context.Context) {
+func (k *canceller) run(ctx context.Context) {
 	for {
 		select {
 		case e := <-k.queue:
@@ -63,7 +63,7 @@
 }
 
 // deliver is best effort.
-func (k *courier) deliver(ctx context.Context, e errand) {
+func (k *canceller) deliver(ctx context.Context, e cancellation) {
 	ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
 	defer cancel()
 	var verdict exec.Verdict
@@ -71,9 +71,9 @@
 }
 
 // close ends the workers and waits for them.
-func (k *courier) close() {
+func (k *canceller) close() {
 	k.stop()
-	for range courierWorkers {
+	for range cancelWorkers {
 		<-k.ended
 	}
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -62,23 +62,23 @@
 
 // Entry is the kernel service that takes calls and makes their attempts.
 type Entry struct {
-	options  Options
-	settings Settings
-	members  Members
-	parents  Parents
-	tracer   Tracer
-	metrics  tally.Scope
-	client   *relay.Client
-	needs    *needs
-	control  Caller
-	courier  *courier
-	table    claim.Table
-	targets  *identities
-	close    func()
-	callers  *listen.Server
-	backend  *listen.Server
-	active   atomic.Int64
-	goodput  meter.Goodput
+	options   Options
+	settings  Settings
+	members   Members
+	parents   Parents
+	tracer    Tracer
+	metrics   tally.Scope
+	client    *relay.Client
+	needs     *needs
+	control   Caller
+	canceller *canceller
+	table     claim.Table
+	targets   *identities
+	close     func()
+	callers   *listen.Server
+	backend   *listen.Server
+	active    atomic.Int64
+	goodput   meter.Goodput
 }
 
 // New returns an entry that still has to be started.
@@ -117,7 +117,7 @@
 // Stop closes the listeners and the connections to other nodes.
 func (e *Entry) Stop(ctx context.Context) error {
 	defer e.close()
-	defer e.courier.close()
+	defer e.canceller.close()
 
 	return errors.CombineErrors(e.callers.Close(ctx), e.backend.Close(ctx))
 }
@@ -164,7 +164,7 @@
 	if e.table, err = kernel.Find[claim.Table](k, store.Name); err != nil {
 		return err
 	}
-	e.courier = newCourier(e.control)
+	e.canceller = newCanceller(e.control)
 	metrics, err := kernel.Find[*meter.Meter](k, meter.Name)
 	if err != nil {
 		return err
--- a/internal/entry/probe.go
+++ b/internal/entry/probe.go
@@ -76,7 +76,7 @@
 	if err != nil || !vitals.Stalled {
 		return nil
 	}
-	p.request.entry.courier.cancel(p.target, p.attempt)
+	p.request.entry.canceller.cancel(p.target, p.attempt)
 
 	return call.NewRefusal(call.OutcomeUnknown, call.ReasonStalled).WithDetail("backend server of %s answers nothing", p.target.ID)
 }
@@ -90,7 +90,7 @@
 		return result
 	}
 	if result.Reason == call.ReasonCancelled {
-		p.request.entry.courier.cancel(p.target, p.attempt)
+		p.request.entry.canceller.cancel(p.target, p.attempt)
 
 		return result
 	}
--- a/internal/entry/lot.go
+++ b/internal/entry/rank.go
@@ -13,7 +13,7 @@
 
 // drawRank returns the rank of a root request, the same for its repetitions within the mean Retry-After.
 func drawRank(ctx *app.RequestContext, caller string, policy tree.Policy, now time.Time) call.Rank {
-	lot := call.NewLot(now, policy.RetryAfter,
+	root := call.NewRepeatRoot(now, policy.RetryAfter,
 		[]byte(caller),
 		ctx.Request.Header.Method(),
 		ctx.Request.URI().Path(),
@@ -21,7 +21,7 @@
 		ctx.Request.URI().QueryArgs().Peek(wire.QueryTicket),
 	)
 
-	return call.NewRank(policy.Priority, lot)
+	return call.NewRank(policy.Priority, root)
 }
 
 // rankOf returns the rank of a call under the scope, which only a more important kind raises.
--- a/internal/exec/book.go
+++ b/internal/exec/calls.go
@@ -25,8 +25,8 @@
 // Verdict is what an executing node knows of an attempt.
 type Verdict = fence.Verdict[Answer]
 
-// book is the fence of this incarnation, with the calls under way.
-type book struct {
+// callTable is the fence of this incarnation, with the calls under way.
+type callTable struct {
 	mu    sync.Mutex
 	fence *fence.Fence[Answer]
 	// changed holds for each call under way a channel that is closed when the call is settled.
@@ -43,8 +43,8 @@
 	return attemptKey{op: a.Op, number: a.Number}
 }
 
-func newBook(incarnation uint64) *book {
-	return &book{
+func newCallTable(incarnation uint64) *callTable {
+	return &callTable{
 		fence:   fence.New[Answer](incarnation, fence.DefaultLimits()),
 		changed: map[call.ID]chan struct{}{},
 		cancels: map[attemptKey]context.CancelFunc{},
@@ -52,64 +52,64 @@
 }
 
 // arrive admits the attempt, whose work ends with cancel, or says what is known of it.
-func (b *book) arrive(now time.Time, a fence.Attempt, memory time.Duration, cancel context.CancelFunc) Verdict {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+func (t *callTable) arrive(now time.Time, a fence.Attempt, memory time.Duration, cancel context.CancelFunc) Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 
 	if a.Once {
-		b.fence.Widen(now, memory)
+		t.fence.Widen(now, memory)
 	}
-	verdict := b.fence.Arrive(now, a)
+	verdict := t.fence.Arrive(now, a)
 	if verdict.Admitted() {
-		b.cancels[keyOf(a)] = cancel
+		t.cancels[keyOf(a)] = cancel
 		if a.Once {
-			b.changed[a.Op] = make(chan struct{})
+			t.changed[a.Op] = make(chan struct{})
 		}
 	}
 
 	return verdict
 }
 
-func (b *book) start(a fence.Attempt) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+func (t *callTable) start(a fence.Attempt) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 
-	return b.fence.Start(a)
+	return t.fence.Start(a)
 }
 
 // refuse settles an attempt that did not reach the backend server.
-func (b *book) refuse(a fence.Attempt) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.fence.Refuse(a)
-	b.settled(a)
+func (t *callTable) refuse(a fence.Attempt) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.fence.Refuse(a)
+	t.settled(a)
 }
 
 // finish settles an attempt that ran, answer nil if none is to be remembered.
-func (b *book) finish(a fence.Attempt, answer *Answer) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+func (t *callTable) finish(a fence.Attempt, answer *Answer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	size := 0
 	if answer != nil {
 		size = len(answer.Body)
 	}
-	b.fence.Finish(a, answer, int64(size))
-	b.settled(a)
+	t.fence.Finish(a, answer, int64(size))
+	t.settled(a)
 }
 
-func (b *book) settled(a fence.Attempt) {
-	delete(b.cancels, keyOf(a))
-	if changed, waited := b.changed[a.Op]; a.Once && waited {
+func (t *callTable) settled(a fence.Attempt) {
+	delete(t.cancels, keyOf(a))
+	if changed, waited := t.changed[a.Op]; a.Once && waited {
 		close(changed)
-		delete(b.changed, a.Op)
+		delete(t.changed, a.Op)
 	}
 }
 
 // wait returns when the once operation is settled, or when the context ends.
-func (b *book) wait(ctx context.Context, op call.ID) {
-	b.mu.Lock()
-	changed := b.changed[op]
-	b.mu.Unlock()
+func (t *callTable) wait(ctx context.Context, op call.ID) {
+	t.mu.Lock()
+	changed := t.changed[op]
+	t.mu.Unlock()
 	if changed == nil {
 		return
 	}
@@ -119,27 +119,27 @@
 	}
 }
 
-func (b *book) resolve(now time.Time, a fence.Attempt) Verdict {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+func (t *callTable) resolve(now time.Time, a fence.Attempt) Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 
-	return b.fence.Resolve(now, a)
+	return t.fence.Resolve(now, a)
 }
 
-func (b *book) retire(now time.Time, a fence.Attempt) Verdict {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+func (t *callTable) retire(now time.Time, a fence.Attempt) Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 
-	return b.fence.Retire(now, a)
+	return t.fence.Retire(now, a)
 }
 
 // cancel fences an attempt that waits, and ends one that runs unless it is a once operation.
-func (b *book) cancel(now time.Time, a fence.Attempt) Verdict {
-	b.mu.Lock()
-	defer b.mu.Unlock()
+func (t *callTable) cancel(now time.Time, a fence.Attempt) Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 
-	verdict := b.fence.Cancel(now, a)
-	stop, underWay := b.cancels[keyOf(a)]
+	verdict := t.fence.Cancel(now, a)
+	stop, underWay := t.cancels[keyOf(a)]
 	if underWay && (verdict.State == fence.StateFenced || !a.Once) {
 		stop()
 	}
--- a/internal/exec/control.go
+++ b/internal/exec/control.go
@@ -54,28 +54,28 @@
 
 // Resolve says what became of an attempt, and fences it if it did not arrive.
 func (c *Control) Resolve(args ResolveArgs, verdict *Verdict) error {
-	*verdict = c.exec.book.resolve(time.Now(), args.Attempt)
+	*verdict = c.exec.callTable.resolve(time.Now(), args.Attempt)
 	if !verdict.Waits() || !args.Attempt.Once || args.Wait <= 0 {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), min(args.Wait, maxResolveWait))
 	defer cancel()
-	c.exec.book.wait(ctx, args.Attempt.Op)
-	*verdict = c.exec.book.resolve(time.Now(), args.Attempt)
+	c.exec.callTable.wait(ctx, args.Attempt.Op)
+	*verdict = c.exec.callTable.resolve(time.Now(), args.Attempt)
 
 	return nil
 }
 
 // Cancel ends an attempt for which nobody waits any more, except a once operation that runs.
 func (c *Control) Cancel(args ResolveArgs, verdict *Verdict) error {
-	*verdict = c.exec.book.cancel(time.Now(), args.Attempt)
+	*verdict = c.exec.callTable.cancel(time.Now(), args.Attempt)
 
 	return nil
 }
 
 // Retire fences a once operation for good, so that it may be given another home.
 func (c *Control) Retire(args ResolveArgs, verdict *Verdict) error {
-	*verdict = c.exec.book.retire(time.Now(), args.Attempt)
+	*verdict = c.exec.callTable.retire(time.Now(), args.Attempt)
 
 	return nil
 }
--- a/internal/exec/exec.go
+++ b/internal/exec/exec.go
@@ -19,7 +19,7 @@
 	"github.com/pistachiotack/pistachiotack/pkg/call"
 	"github.com/pistachiotack/pistachiotack/pkg/credit"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
-	"github.com/pistachiotack/pistachiotack/pkg/pulse"
+	"github.com/pistachiotack/pistachiotack/pkg/stall"
 	"github.com/pistachiotack/pistachiotack/pkg/tree"
 )
 
@@ -69,21 +69,21 @@
 	close    func()
 	server   *listen.Server
 
-	state   atomic.Value
-	leaving atomic.Pointer[func()]
-	active  atomic.Int64
-	mu      sync.RWMutex
-	running map[call.ID]*scope.Scope
-	book    *book
-	pulse   *pulse.Pulse
-	records Recorder
-	goodput meter.Goodput
+	state     atomic.Value
+	leaving   atomic.Pointer[func()]
+	active    atomic.Int64
+	mu        sync.RWMutex
+	running   map[call.ID]*scope.Scope
+	callTable *callTable
+	detector  *stall.Detector
+	records   Recorder
+	goodput   meter.Goodput
 }
 
 // New returns an executing node that still has to be started.
 func New(options Options) *Exec {
 	client, closeClient := relay.NewClient(relay.BackendIdle)
-	e := &Exec{options: options, client: client, close: closeClient, running: map[call.ID]*scope.Scope{}, book: newBook(options.Incarnation), pulse: pulse.New()}
+	e := &Exec{options: options, client: client, close: closeClient, running: map[call.ID]*scope.Scope{}, callTable: newCallTable(options.Incarnation), detector: stall.New()}
 	e.state.Store(member.StateServing)
 
 	return e
@@ -186,7 +186,7 @@
 func (e *Exec) began() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.pulse.Start(time.Now())
+	e.detector.Start(time.Now())
 }
 
 // ended counts a call that the backend server has answered, or has not.
@@ -194,11 +194,11 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !answered {
-		e.pulse.Lost()
+		e.detector.Lost()
 
 		return
 	}
-	e.pulse.Answered(time.Now(), kind, took)
+	e.detector.Answered(time.Now(), kind, took)
 }
 
 // stalled reports whether the backend server has stopped answering.
@@ -206,7 +206,7 @@
 	e.mu.RLock()
 	defer e.mu.RUnlock()
 
-	return e.pulse.Stalled(time.Now(), kind)
+	return e.detector.Stalled(time.Now(), kind)
 }
 
 // leave ends the operation and returns the attempts that it leaves unspent.
--- a/internal/exec/guard.go
+++ b/internal/exec/guard.go
@@ -60,7 +60,7 @@
 
 			return nil
 		case x.envelope.Once && verdict.Waits() && c.Err() == nil:
-			x.exec.book.wait(c, x.envelope.Op)
+			x.exec.callTable.wait(c, x.envelope.Op)
 		default:
 			return call.NewRefusal(verdict.Outcome, verdict.Reason).WithDetail("attempt is %s", verdict.State)
 		}
@@ -78,11 +78,11 @@
 
 // arrive asks the fence; a node that drains or has no backend server yet only gives what it already knows.
 func (x *execution) arrive(cancel context.CancelFunc) Verdict {
-	book := x.exec.book
+	callTable := x.exec.callTable
 	if state := x.exec.State(); state != member.StateDraining && state != member.StateStarting {
-		return book.arrive(time.Now(), x.attempt, x.policy.AnswerMemory, cancel)
+		return callTable.arrive(time.Now(), x.attempt, x.policy.AnswerMemory, cancel)
 	}
-	verdict := book.resolve(time.Now(), x.attempt)
+	verdict := callTable.resolve(time.Now(), x.attempt)
 	if verdict.Outcome == call.OutcomeNotRun {
 		verdict.Reason = closedReason(x.exec.State())
 	}
@@ -102,11 +102,11 @@
 // settle tells the fence how the attempt ended.
 func (x *execution) settle(refusal *call.Refusal) *call.Refusal {
 	if refusal != nil && refusal.Outcome == call.OutcomeNotRun {
-		x.exec.book.refuse(x.attempt)
+		x.exec.callTable.refuse(x.attempt)
 
 		return refusal
 	}
-	x.exec.book.finish(x.attempt, x.remembered)
+	x.exec.callTable.finish(x.attempt, x.remembered)
 	if x.remembered != nil {
 		x.exec.records.Record(x.envelope.Op, *x.remembered)
 	}
--- a/internal/exec/handle.go
+++ b/internal/exec/handle.go
@@ -118,7 +118,7 @@
 
 // forward runs the call on the backend server, while its outgoing calls may use the sub-grant.
 func (x *execution) forward(c context.Context) (Finished, *call.Refusal) {
-	if !x.exec.book.start(x.attempt) {
+	if !x.exec.callTable.start(x.attempt) {
 		return Finished{Load: noLoad}, call.NewRefusal(call.OutcomeNotRun, call.ReasonFenced)
 	}
 	running := &scope.Scope{
--- a/internal/holder/edit.go
+++ b/internal/holder/edit.go
@@ -79,7 +79,7 @@
 
 // ground reads the table's head; a head that is older than what is in force only lends its ETag.
 func (h *Holder) ground(ctx context.Context) (ground, error) {
-	head, etag, err := h.book.head(ctx)
+	head, etag, err := h.rows.head(ctx)
 	if err != nil {
 		h.lost(ctx, err)
 
@@ -105,12 +105,12 @@
 		return current.accepted.Tree(), nil
 	case revision == 0:
 		return h.options.Initial.Tree(), nil
-	case h.book == nil:
+	case h.rows == nil:
 		return nil, errors.Wrapf(ErrUnknownRevision, "no table to read revision %d from", revision)
 	}
-	record, err := h.book.record(ctx, revision)
+	record, err := h.rows.record(ctx, revision)
 	if errors.Is(err, ErrUnknownRevision) {
-		head, _, headErr := h.book.head(ctx)
+		head, _, headErr := h.rows.head(ctx)
 		if headErr == nil && head.Revision == revision {
 			record, err = head, nil
 		}
--- a/internal/holder/follow.go
+++ b/internal/holder/follow.go
@@ -27,14 +27,14 @@
 
 // poll looks at the table's head; it reports whether the table answered.
 func (h *Holder) poll(ctx context.Context) bool {
-	if h.book == nil {
+	if h.rows == nil {
 		return true
 	}
 	before := h.Record()
 	h.mu.Lock()
 	etag := h.health.etag
 	h.mu.Unlock()
-	head, etag, changed, err := h.book.headChanged(ctx, etag)
+	head, etag, changed, err := h.rows.headChanged(ctx, etag)
 	if err != nil {
 		h.lost(ctx, err)
 
@@ -101,7 +101,7 @@
 
 		return
 	}
-	if err := h.book.writeHead(ctx, before, etag); err != nil {
+	if err := h.rows.writeHead(ctx, before, etag); err != nil {
 		if !errors.Is(err, store.ErrConflict) {
 			h.note(ctx, slog.LevelWarn, "mendFailed", before, err.Error())
 		}
--- a/internal/holder/history.go
+++ b/internal/holder/history.go
@@ -27,12 +27,12 @@
 	if record.Revision > 0 {
 		history.Line = append([]Ancestor{record.Ancestor}, record.Line...)
 	}
-	if h.book == nil {
+	if h.rows == nil {
 		history.Detail = "no platform in the settings of this node"
 
 		return history
 	}
-	rows, err := h.book.proposals(ctx)
+	rows, err := h.rows.proposals(ctx)
 	if err != nil {
 		history.Detail = err.Error()
 
@@ -63,7 +63,7 @@
 		return p
 	}
 
-	return h.book.expire(ctx, row, now).proposal
+	return h.rows.expire(ctx, row, now).proposal
 }
 
 // Status is what this node holds and what an operator should know about it.
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -103,7 +103,7 @@
 // Holder is the service `holder`.
 type Holder struct {
 	options Options
-	book    *book
+	rows    *rowStore
 	control Control
 	fleet   Fleet
 	tracer  Tracer
@@ -177,7 +177,7 @@
 		return err
 	}
 	if table, err := kernel.Find[Table](k, store.Name); err == nil && table.Configured() {
-		h.book = &book{table: table}
+		h.rows = &rowStore{table: table}
 	}
 	if tracer, err := kernel.Find[Tracer](k, trace.Name); err == nil {
 		h.tracer = tracer
--- a/internal/holder/propose.go
+++ b/internal/holder/propose.go
@@ -35,7 +35,7 @@
 	if edit.ID == "" {
 		edit.ID = uuid.NewString()
 	}
-	if h.book == nil {
+	if h.rows == nil {
 		return refused(edit, call.ReasonTableAway, "no platform in the settings of this node")
 	}
 	select {
@@ -106,7 +106,7 @@
 	now := time.Now()
 	proposed := trial.New(p.edit.ID, p.edit.Author, p.holder.options.Node, p.edit.Base, now, now.Add(proposalLife(guard))).
 		WithNote(p.edit.Note).WithChanges(changes)
-	row, err := p.holder.book.write(ctx, proposalRow{key: proposalKey(proposed)}, proposed)
+	row, err := p.holder.rows.write(ctx, proposalRow{key: proposalKey(proposed)}, proposed)
 	if err != nil {
 		return err
 	}
@@ -122,7 +122,7 @@
 	if err != nil {
 		return err
 	}
-	row, err := p.holder.book.write(ctx, p.row, next)
+	row, err := p.holder.rows.write(ctx, p.row, next)
 	if err == nil {
 		p.row = row
 	}
@@ -164,7 +164,7 @@
 	if !p.claim(ctx) {
 		return true
 	}
-	if err := h.book.keep(ctx, g.record); err != nil {
+	if err := h.rows.keep(ctx, g.record); err != nil {
 		p.refuse(ctx, call.ReasonTableAway, err.Error())
 
 		return true
@@ -173,7 +173,7 @@
 		Ancestor: Ancestor{Edit: p.edit.ID, Author: p.edit.Author, At: time.Now()},
 		Note:     p.edit.Note, Reason: verdict.Reason, Detail: verdict.Detail, Text: merged.Text(),
 	}.After(g.record)
-	err := h.book.writeHead(ctx, record, g.etag)
+	err := h.rows.writeHead(ctx, record, g.etag)
 	if err != nil {
 		err = p.resolve(ctx, record, g.etag, err)
 	}
@@ -199,7 +199,7 @@
 
 		return false
 	}
-	row, err := p.holder.book.write(ctx, p.row, p.row.proposal)
+	row, err := p.holder.rows.write(ctx, p.row, p.row.proposal)
 	if errors.Is(err, store.ErrConflict) {
 		p.result = Result{State: trial.StateExpired, Edit: p.edit.ID, Reason: trial.ReasonVanished, Detail: err.Error()}
 
@@ -217,12 +217,12 @@
 
 // resolve finds out whether a write took effect that was refused or not answered; nil means that it did.
 func (p *proposal) resolve(ctx context.Context, record Record, etag string, lost error) error {
-	book := p.holder.book
+	rows := p.holder.rows
 	for range resolveTries {
 		if errors.Is(lost, store.ErrAway) {
 			return lost
 		}
-		head, present, err := book.head(ctx)
+		head, present, err := rows.head(ctx)
 		switch {
 		case err != nil:
 			if !sleep(ctx, resolvePause) {
@@ -233,7 +233,7 @@
 		case present != etag:
 			return errors.Wrapf(store.ErrConflict, "revision %d of edit %s was quicker", head.Revision, head.Edit)
 		default:
-			if lost = book.writeHead(ctx, record, etag); lost == nil {
+			if lost = rows.writeHead(ctx, record, etag); lost == nil {
 				return nil
 			}
 		}
--- a/internal/holder/book.go
+++ b/internal/holder/rows.go
@@ -26,20 +26,20 @@
 // ErrUnknownRevision is returned for a revision that is not kept.
 var ErrUnknownRevision = errors.New("unknown revision")
 
-// book keeps revisions and proposals in the platform's table.
-type book struct {
+// rowStore keeps revisions and proposals in the platform's table.
+type rowStore struct {
 	table Table
 }
 
 // head returns the newest revision and its ETag, both empty if there is none.
-func (b *book) head(ctx context.Context) (Record, string, error) {
-	record, etag, _, err := b.headChanged(ctx, "")
+func (s *rowStore) head(ctx context.Context) (Record, string, error) {
+	record, etag, _, err := s.headChanged(ctx, "")
 
 	return record, etag, err
 }
 
-func (b *book) headChanged(ctx context.Context, etag string) (Record, string, bool, error) {
-	row, changed, err := b.table.GetChanged(ctx, keyHead, etag)
+func (s *rowStore) headChanged(ctx context.Context, etag string) (Record, string, bool, error) {
+	row, changed, err := s.table.GetChanged(ctx, keyHead, etag)
 	if errors.Is(err, store.ErrNotFound) {
 		return Record{}, "", true, nil
 	}
@@ -55,22 +55,22 @@
 }
 
 // writeHead replaces the head if it still has that ETag, an empty one means that there is none.
-func (b *book) writeHead(ctx context.Context, record Record, etag string) error {
+func (s *rowStore) writeHead(ctx context.Context, record Record, etag string) error {
 	value, err := record.encode()
 	if err != nil {
 		return err
 	}
 	if etag == "" {
-		_, err = b.table.Insert(ctx, keyHead, value)
+		_, err = s.table.Insert(ctx, keyHead, value)
 	} else {
-		_, err = b.table.Put(ctx, keyHead, value, etag)
+		_, err = s.table.Put(ctx, keyHead, value, etag)
 	}
 
 	return errors.Wrapf(err, "write revision %d", record.Revision)
 }
 
 // keep puts a revision into the history before its row at the head is replaced.
-func (b *book) keep(ctx context.Context, record Record) error {
+func (s *rowStore) keep(ctx context.Context, record Record) error {
 	if record.Revision == 0 {
 		return nil
 	}
@@ -80,9 +80,9 @@
 	}
 	key := fmt.Sprintf("%s%010d-%s", prefixLog, record.Revision, record.Edit)
 	for range insertTries {
-		_, err = b.table.Insert(ctx, key, value)
+		_, err = s.table.Insert(ctx, key, value)
 		if errors.Is(err, store.ErrUnknownEffect) {
-			_, err = b.confirm(ctx, key, value, err)
+			_, err = s.confirm(ctx, key, value, err)
 		}
 		if err == nil || errors.Is(err, store.ErrConflict) {
 			return nil
@@ -96,8 +96,8 @@
 }
 
 // record returns a kept revision.
-func (b *book) record(ctx context.Context, revision uint64) (Record, error) {
-	rows, err := b.table.List(ctx, fmt.Sprintf("%s%010d-", prefixLog, revision), "")
+func (s *rowStore) record(ctx context.Context, revision uint64) (Record, error) {
+	rows, err := s.table.List(ctx, fmt.Sprintf("%s%010d-", prefixLog, revision), "")
 	if err != nil {
 		return Record{}, errors.Wrapf(err, "read revision %d", revision)
 	}
@@ -121,19 +121,19 @@
 }
 
 // write stores the proposal if nobody else changed its row; an answer that was lost is looked up.
-func (b *book) write(ctx context.Context, row proposalRow, next trial.Proposal) (proposalRow, error) {
+func (s *rowStore) write(ctx context.Context, row proposalRow, next trial.Proposal) (proposalRow, error) {
 	value, err := json.Marshal(next)
 	if err != nil {
 		return row, errors.Wrap(err, "encode proposal")
 	}
 	var etag string
 	if row.etag == "" {
-		etag, err = b.table.Insert(ctx, row.key, value)
+		etag, err = s.table.Insert(ctx, row.key, value)
 	} else {
-		etag, err = b.table.Put(ctx, row.key, value, row.etag)
+		etag, err = s.table.Put(ctx, row.key, value, row.etag)
 	}
 	if errors.Is(err, store.ErrUnknownEffect) {
-		etag, err = b.confirm(ctx, row.key, value, err)
+		etag, err = s.confirm(ctx, row.key, value, err)
 	}
 	if err != nil {
 		return row, errors.Wrapf(err, "write proposal %s", next.Edit)
@@ -143,8 +143,8 @@
 }
 
 // confirm reads a row back whose write was not answered.
-func (b *book) confirm(ctx context.Context, key string, value []byte, lost error) (string, error) {
-	present, err := b.table.Get(ctx, key)
+func (s *rowStore) confirm(ctx context.Context, key string, value []byte, lost error) (string, error) {
+	present, err := s.table.Get(ctx, key)
 	if err != nil || string(present.Value) != string(value) {
 		return "", lost
 	}
@@ -153,8 +153,8 @@
 }
 
 // proposals returns the newest proposals first.
-func (b *book) proposals(ctx context.Context) ([]proposalRow, error) {
-	rows, err := b.table.List(ctx, prefixProposal, "")
+func (s *rowStore) proposals(ctx context.Context) ([]proposalRow, error) {
+	rows, err := s.table.List(ctx, prefixProposal, "")
 	if err != nil {
 		return nil, errors.Wrap(err, "list proposals")
 	}
@@ -171,12 +171,12 @@
 }
 
 // expire marks a proposal whose coordinator vanished; another node may be quicker.
-func (b *book) expire(ctx context.Context, row proposalRow, now time.Time) proposalRow {
+func (s *rowStore) expire(ctx context.Context, row proposalRow, now time.Time) proposalRow {
 	expired, err := row.proposal.Fire(trial.Event{Trigger: trial.TriggerExpire, Now: now, Reason: trial.ReasonVanished})
 	if err != nil {
 		return row
 	}
-	if written, err := b.write(ctx, row, expired); err == nil {
+	if written, err := s.write(ctx, row, expired); err == nil {
 		return written
 	}
 
--- a/internal/load/book.go
+++ b/internal/load/count.go
@@ -44,8 +44,8 @@
 	good    bool
 }
 
-// book takes down all that happens in a run.
-type book struct {
+// tally takes down all that happens in a run.
+type tally struct {
 	plan  Plan
 	began time.Time
 
@@ -56,8 +56,8 @@
 	ends     []ended
 }
 
-func newBook(plan Plan) *book {
-	b := &book{plan: plan, began: time.Now(), refusals: map[refusalKey]int{}}
+func newTally(plan Plan) *tally {
+	t := &tally{plan: plan, began: time.Now(), refusals: map[refusalKey]int{}}
 	total := time.Duration(0)
 	for _, phase := range plan.Phases {
 		total += phase.Time
@@ -65,80 +65,80 @@
 		for i := range cells {
 			cells[i] = cell{byEnd: map[verdict]int{}, latency: hdrhistogram.New(latencyMin, latencyMax, latencyDigits)}
 		}
-		b.cells = append(b.cells, cells)
+		t.cells = append(t.cells, cells)
 	}
-	b.series = make([]Point, total/bucket+1)
-	for i := range b.series {
-		b.series[i].Seconds = (time.Duration(i) * bucket).Seconds()
+	t.series = make([]Point, total/bucket+1)
+	for i := range t.series {
+		t.series[i].Seconds = (time.Duration(i) * bucket).Seconds()
 	}
 
-	return b
+	return t
 }
 
-func (b *book) offer(from arrival) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.cells[from.phase][from.kind].offered++
-	point := &b.series[from.at/bucket]
+func (t *tally) offer(from arrival) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.cells[from.phase][from.kind].offered++
+	point := &t.series[from.at/bucket]
 	point.Offered++
-	if b.important(from.kind) {
+	if t.important(from.kind) {
 		point.ImportantOffered++
 	}
 }
 
-func (b *book) important(kind int) bool {
-	return b.plan.Example.Kinds[kind].Class == call.ClassVital
+func (t *tally) important(kind int) bool {
+	return t.plan.Example.Kinds[kind].Class == call.ClassVital
 }
 
-func (b *book) finish(from arrival, tries []try, took time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	in := &b.cells[from.phase][from.kind]
+func (t *tally) finish(from arrival, tries []try, took time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	in := &t.cells[from.phase][from.kind]
 	in.tries += len(tries)
 	last := tries[len(tries)-1]
 	in.byEnd[last.verdict]++
 	if last.verdict == verdictGood {
-		b.good(in, from, took)
+		t.good(in, from, took)
 	}
 	for i, each := range tries {
 		if each.verdict == verdictCut {
 			in.cuts++
 		}
 		if i+1 == len(tries) || tries[i+1].id != each.id {
-			b.ends = append(b.ends, ended{id: each.id, kind: b.plan.Example.Kinds[from.kind].Name, reason: each.reason, outcome: each.outcome, good: each.verdict == verdictGood})
+			t.ends = append(t.ends, ended{id: each.id, kind: t.plan.Example.Kinds[from.kind].Name, reason: each.reason, outcome: each.outcome, good: each.verdict == verdictGood})
 		}
 		if each.verdict == verdictRefused || each.verdict == verdictFailed {
-			b.refusals[refusalKey{reason: each.reason, outcome: each.outcome}]++
+			t.refusals[refusalKey{reason: each.reason, outcome: each.outcome}]++
 		}
 	}
 }
 
 // good counts a success where it arrived and where it ended; the caller holds the lock.
-func (b *book) good(in *cell, from arrival, took time.Duration) {
+func (t *tally) good(in *cell, from arrival, took time.Duration) {
 	in.good++
 	_ = in.latency.RecordValue(max(latencyMin, min(latencyMax, took.Microseconds())))
-	point := &b.series[from.at/bucket]
+	point := &t.series[from.at/bucket]
 	point.GoodOfOffered++
-	if b.important(from.kind) {
+	if t.important(from.kind) {
 		point.ImportantGood++
 	}
-	if at := int((from.at + took) / bucket); at < len(b.series) {
-		b.series[at].Good++
+	if at := int((from.at + took) / bucket); at < len(t.series) {
+		t.series[at].Good++
 	}
 }
 
 // latest sums the points of the span that ended just now.
-func (b *book) latest(span time.Duration) Point {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := int(time.Since(b.began) / bucket)
-	sum := Point{Seconds: time.Since(b.began).Seconds()}
-	for i := max(0, now-int(span/bucket)); i < now && i < len(b.series); i++ {
-		sum.Offered += b.series[i].Offered
-		sum.Good += b.series[i].Good
-		sum.GoodOfOffered += b.series[i].GoodOfOffered
-		sum.ImportantOffered += b.series[i].ImportantOffered
-		sum.ImportantGood += b.series[i].ImportantGood
+func (t *tally) latest(span time.Duration) Point {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := int(time.Since(t.began) / bucket)
+	sum := Point{Seconds: time.Since(t.began).Seconds()}
+	for i := max(0, now-int(span/bucket)); i < now && i < len(t.series); i++ {
+		sum.Offered += t.series[i].Offered
+		sum.Good += t.series[i].Good
+		sum.GoodOfOffered += t.series[i].GoodOfOffered
+		sum.ImportantOffered += t.series[i].ImportantOffered
+		sum.ImportantGood += t.series[i].ImportantGood
 	}
 
 	return sum
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -115,22 +115,22 @@
 	Series  []Point  `json:"series"`
 }
 
-func (b *book) report(before, after fake.Totals) *Report {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	plan := b.plan
-	r := &Report{Name: plan.Name, Variant: plan.Variant, Example: plan.Example.Name, Seed: plan.Seed, Scale: plan.Example.Scale, Series: b.series}
+func (t *tally) report(before, after fake.Totals) *Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	plan := t.plan
+	r := &Report{Name: plan.Name, Variant: plan.Variant, Example: plan.Example.Name, Seed: plan.Seed, Scale: plan.Example.Scale, Series: t.series}
 	r.Capacity, r.Narrowest = plan.Example.Capacity()
 	for i, phase := range plan.Phases {
-		r.Phases = append(r.Phases, b.phase(i, phase, r.Narrowest))
+		r.Phases = append(r.Phases, t.phase(i, phase, r.Narrowest))
 		for k, kind := range plan.Example.Kinds {
-			r.Kinds = append(r.Kinds, kindReport(phase.Name, kind, b.cells[i][k]))
-			r.Dropped += b.cells[i][k].byEnd[verdictDropped]
-			r.Violations.Wrong += b.cells[i][k].byEnd[verdictWrong]
-			r.Violations.Torn += b.cells[i][k].byEnd[verdictTorn]
+			r.Kinds = append(r.Kinds, kindReport(phase.Name, kind, t.cells[i][k]))
+			r.Dropped += t.cells[i][k].byEnd[verdictDropped]
+			r.Violations.Wrong += t.cells[i][k].byEnd[verdictWrong]
+			r.Violations.Torn += t.cells[i][k].byEnd[verdictTorn]
 		}
 	}
-	for key, count := range b.refusals {
+	for key, count := range t.refusals {
 		r.Refusals = append(r.Refusals, RefusalReport{Reason: key.reason, Outcome: key.outcome, Count: count})
 	}
 	slices.SortFunc(r.Refusals, func(x, y RefusalReport) int {
@@ -140,9 +140,9 @@
 
 		return strings.Compare(x.Reason+string(x.Outcome), y.Reason+string(y.Outcome))
 	})
-	r.Recovery, r.Recovered = recovery(b.series, plan.Phases)
+	r.Recovery, r.Recovered = recovery(t.series, plan.Phases)
 	r.Violations.HopWrong = after.HopWrong - before.HopWrong
-	b.executions(r)
+	t.executions(r)
 
 	return r
 }
@@ -160,17 +160,17 @@
 	}
 }
 
-func (b *book) phase(number int, phase Phase, narrowest string) PhaseReport {
-	example := b.plan.Example
+func (t *tally) phase(number int, phase Phase, narrowest string) PhaseReport {
+	example := t.plan.Example
 	report := PhaseReport{Phase: phase.Name, Seconds: phase.Time.Seconds()}
 	used := map[string]float64{}
 	important, importantGood := 0, 0
 	for k, kind := range example.Kinds {
-		in := b.cells[number][k]
+		in := t.cells[number][k]
 		report.Offered += in.offered
 		report.Good += in.good
 		example.demand(kind, float64(in.good), used)
-		if b.important(k) {
+		if t.important(k) {
 			important += in.offered
 			importantGood += in.good
 		}
@@ -204,15 +204,15 @@
 }
 
 // executions compares what callers were told with what backend servers did; the caller holds the lock.
-func (b *book) executions(r *Report) {
-	ledger := b.plan.Ledger
-	if ledger == nil || len(b.ends) == 0 {
+func (t *tally) executions(r *Report) {
+	ledger := t.plan.Ledger
+	if ledger == nil || len(t.ends) == 0 {
 		return
 	}
 	var wasted, busy time.Duration
-	counts := make([]int, 0, len(b.ends))
+	counts := make([]int, 0, len(t.ends))
 	total := 0
-	for _, end := range b.ends {
+	for _, end := range t.ends {
 		record := ledger.Request(end.id)
 		counts = append(counts, record.Arrivals)
 		total += record.Arrivals
@@ -231,5 +231,5 @@
 	if busy > 0 {
 		r.WastedShare = float64(wasted) / float64(busy)
 	}
-	r.Violations.RepeatedKeys = ledger.RepeatedKeys(b.plan.Prefix)
+	r.Violations.RepeatedKeys = ledger.RepeatedKeys(t.plan.Prefix)
 }
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -46,7 +46,7 @@
 	if len(plan.Phases) == 0 || len(plan.Manners) != len(plan.Phases) || len(plan.Example.Kinds) == 0 || plan.Picker == nil {
 		return nil, ErrPlan
 	}
-	r := &runner{plan: plan, client: fake.NewClient(), book: newBook(plan), open: make(chan struct{}, maxOpen)}
+	r := &runner{plan: plan, client: fake.NewClient(), tally: newTally(plan), open: make(chan struct{}, maxOpen)}
 	defer r.client.CloseIdleConnections()
 	before := r.totals()
 	ended := r.watch(ctx)
@@ -56,14 +56,14 @@
 	<-ended
 	wait(ctx, settle)
 
-	return r.book.report(before, r.totals()), ctx.Err()
+	return r.tally.report(before, r.totals()), ctx.Err()
 }
 
 // runner is one run while it goes on.
 type runner struct {
 	plan    Plan
 	client  *http.Client
-	book    *book
+	tally   *tally
 	open    chan struct{}
 	calls   sync.WaitGroup
 	stopped chan struct{}
@@ -74,7 +74,7 @@
 	source := newArrivals(r.plan.Seed, r.plan.Example.Kinds, r.plan.Phases)
 	phase := -1
 	for next, more := source.next(); more; next, more = source.next() {
-		if !wait(ctx, time.Until(r.book.began.Add(next.at))) {
+		if !wait(ctx, time.Until(r.tally.began.Add(next.at))) {
 			return
 		}
 		for ; phase < next.phase; phase++ {
@@ -88,11 +88,11 @@
 
 func (r *runner) start(ctx context.Context, from arrival) {
 	kind := r.plan.Example.Kinds[from.kind]
-	r.book.offer(from)
+	r.tally.offer(from)
 	select {
 	case r.open <- struct{}{}:
 	default:
-		r.book.finish(from, []try{{verdict: verdictDropped}}, 0)
+		r.tally.finish(from, []try{{verdict: verdictDropped}}, 0)
 
 		return
 	}
@@ -110,7 +110,7 @@
 	defer func() { <-r.open }()
 	began := time.Now()
 	tries := c.run(ctx)
-	r.book.finish(c.from, tries, time.Since(began))
+	r.tally.finish(c.from, tries, time.Since(began))
 }
 
 func (r *runner) totals() fake.Totals {
@@ -133,7 +133,7 @@
 			select {
 			case <-ticker.C:
 				if r.plan.Progress != nil {
-					r.plan.Progress(r.book.latest(time.Second))
+					r.plan.Progress(r.tally.latest(time.Second))
 				}
 			case <-r.stopped:
 				return
--- a/internal/proof/build.go
+++ b/internal/procs/build.go
@@ -1,4 +1,4 @@
-package proof
+package procs
 
 import (
 	"context"
@@ -34,7 +34,7 @@
 // Binary builds the program on the first call of a process; RemoveBinary deletes it.
 func Binary(ctx context.Context) (string, error) {
 	built.Do(func() {
-		directory, err := os.MkdirTemp("", "pistachiotack-proof-")
+		directory, err := os.MkdirTemp("", "pistachiotack-procs-")
 		if err != nil {
 			built.err = errors.Wrap(err, "make directory for the binary")
 
--- a/internal/proof/fault_test.go
+++ b/internal/procs/fault_test.go
@@ -1,4 +1,4 @@
-package proof_test
+package procs_test
 
 import (
 	"testing"
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/pistachiotack/pistachiotack/internal/load"
-	"github.com/pistachiotack/pistachiotack/internal/proof"
+	"github.com/pistachiotack/pistachiotack/internal/procs"
 )
 
 // small returns an example with three data centres and six nodes.
@@ -25,15 +25,15 @@
 	return whole
 }
 
-// TestPromisesHoldInEachFault plays a short run of each class of fault; the long set is "bench run --scene faults".
+// TestPromisesHoldInEachFault plays a short run of each class of fault; the long set is "bench run --scenario faults".
 func TestPromisesHoldInEachFault(t *testing.T) {
-	for _, scene := range proof.Faults() {
-		t.Run(scene.Name, func(t *testing.T) {
+	for _, scenario := range procs.Faults() {
+		t.Run(scenario.Name, func(t *testing.T) {
 			t.Parallel()
-			fleet := start(t, proof.Options{Example: small(t), Tree: treeOf(t, "rijksbureau"), Linked: scene.Linked})
-			scene.Usual = 0.15
-			scene.Rate = min(scene.Rate, 0.3)
-			report, err := fleet.Play(t.Context(), scene, proof.Timing{
+			fleet := start(t, procs.Options{Example: small(t), Tree: treeOf(t, "rijksbureau"), Linked: scenario.Linked})
+			scenario.Usual = 0.15
+			scenario.Rate = min(scenario.Rate, 0.3)
+			report, err := fleet.Play(t.Context(), scenario, procs.Timing{
 				Before: time.Second, During: 2 * time.Second, After: 4 * time.Second,
 			}, nil)
 			require.NoError(t, err)
--- a/internal/proof/faults.go
+++ b/internal/procs/faults.go
@@ -1,4 +1,4 @@
-package proof
+package procs
 
 import (
 	"context"
@@ -15,16 +15,16 @@
 	drainPatient = 40 * time.Second
 )
 
-// act is one switch of a scene.
+// act is one switch of a scenario.
 type act func(ctx context.Context, f *Fleet) error
 
-// Faults returns the scenes in which VMs, links and the store fail, alone and two at a time.
-func Faults() []Scene {
+// Faults returns the scenarios in which VMs, links and the store fail, alone and two at a time.
+func Faults() []Scenario {
 	down := store(plat.NewFault(plat.ModeDown))
 	noAnswer := store(plat.NewFault(plat.ModeNoAnswer))
 	up := store(plat.NewFault(plat.ModeNone))
 
-	return []Scene{
+	return []Scenario{
 		{Name: "storeDown", Begin: down, End: up},
 		{Name: "storeSlow", Begin: store(plat.NewFault(plat.ModeSlow).WithDelay(storeDelay)), End: up},
 		{Name: "storeNoAnswer", Begin: noAnswer, End: up},
--- a/internal/proof/fleet.go
+++ b/internal/procs/fleet.go
@@ -1,4 +1,4 @@
-package proof
+package procs
 
 import (
 	"context"
--- a/internal/proof/life_test.go
+++ b/internal/procs/life_test.go
@@ -1,4 +1,4 @@
-package proof_test
+package procs_test
 
 import (
 	"encoding/json"
@@ -12,7 +12,7 @@
 
 	"github.com/pistachiotack/pistachiotack/internal/fake"
 	"github.com/pistachiotack/pistachiotack/internal/gossip"
-	"github.com/pistachiotack/pistachiotack/internal/proof"
+	"github.com/pistachiotack/pistachiotack/internal/procs"
 	"github.com/pistachiotack/pistachiotack/internal/wire"
 	"github.com/pistachiotack/pistachiotack/pkg/call"
 	"github.com/pistachiotack/pistachiotack/pkg/config"
@@ -71,7 +71,7 @@
 }
 
 // stateSeenBy reads the state of a member on the status page of a node.
-func stateSeenBy(t *testing.T, node *proof.Process, name string) member.State {
+func stateSeenBy(t *testing.T, node *procs.Process, name string) member.State {
 	t.Helper()
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+node.Settings().Listen.Operators+gossip.PathStatus, http.NoBody)
 	require.NoError(t, err)
@@ -115,12 +115,12 @@
 	l := &line{ledger: fake.NewLedger(), client: fake.NewClient()}
 	var address string
 	settings := config.Node{Name: "keuring-0", DataCentre: "hal-a", Service: lifeService}
-	require.NoError(t, proof.Reserve(host(0), &address, &settings.Listen.Callers, &settings.Listen.Operators))
+	require.NoError(t, procs.Reserve(host(0), &address, &settings.Listen.Callers, &settings.Listen.Operators))
 	settings.Backend.Address = address
-	binary, err := proof.Binary(t.Context())
+	binary, err := procs.Binary(t.Context())
 	require.NoError(t, err)
 	target := &lineTarget{}
-	target.node, err = proof.StartProcess(t.Context(), binary, t.TempDir(), settings)
+	target.node, err = procs.StartProcess(t.Context(), binary, t.TempDir(), settings)
 	require.NoError(t, err)
 	t.Cleanup(func() { target.end(t) })
 	require.NoError(t, target.node.Ready(t.Context()))
--- a/internal/proof/line_test.go
+++ b/internal/procs/line_test.go
@@ -1,4 +1,4 @@
-package proof_test
+package procs_test
 
 import (
 	"context"
@@ -16,7 +16,7 @@
 	"github.com/pistachiotack/pistachiotack/internal/fake"
 	"github.com/pistachiotack/pistachiotack/internal/fault"
 	"github.com/pistachiotack/pistachiotack/internal/plat"
-	"github.com/pistachiotack/pistachiotack/internal/proof"
+	"github.com/pistachiotack/pistachiotack/internal/procs"
 	"github.com/pistachiotack/pistachiotack/internal/wire"
 	"github.com/pistachiotack/pistachiotack/pkg/call"
 	"github.com/pistachiotack/pistachiotack/pkg/config"
@@ -47,7 +47,7 @@
 type lineTarget struct {
 	service string
 	backend *fake.Server
-	node    *proof.Process
+	node    *procs.Process
 	// link carries the calls of other nodes to this one, but not their questions on the control listener.
 	link *fault.Proxy
 }
@@ -108,7 +108,7 @@
 	require.NoError(t, err)
 	t.Cleanup(clean)
 	listen := config.Listen{}
-	require.NoError(t, proof.Reserve(host(number), &listen.Callers, &listen.Peers, &listen.Control, &listen.Backend, &listen.Operators))
+	require.NoError(t, procs.Reserve(host(number), &listen.Callers, &listen.Peers, &listen.Control, &listen.Backend, &listen.Operators))
 	settings := config.Node{
 		Name: fmt.Sprintf("%s-%d", service.name, i), DataCentre: "hal-a", Service: service.name, Tree: tree, Platform: table,
 		Listen:  listen,
@@ -129,7 +129,7 @@
 
 func (l *line) start(t testing.TB, directory string, settings []config.Node) {
 	t.Helper()
-	binary, err := proof.Binary(t.Context())
+	binary, err := procs.Binary(t.Context())
 	require.NoError(t, err)
 	var fleet []config.Target
 	for i, s := range settings {
@@ -140,7 +140,7 @@
 	for i, s := range settings {
 		s.Fleet.Targets = fleet
 		target := l.targets[i]
-		target.node, err = proof.StartProcess(ctx, binary, directory, s)
+		target.node, err = procs.StartProcess(ctx, binary, directory, s)
 		require.NoError(t, err)
 		target.backend.SetCaller(fake.NewGateway(s.Listen.Backend))
 		t.Cleanup(func() { target.end(t) })
--- a/internal/proof/main_test.go
+++ b/internal/procs/main_test.go
@@ -1,4 +1,4 @@
-package proof_test
+package procs_test
 
 import (
 	"os"
@@ -9,7 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/pistachiotack/pistachiotack/internal/load"
-	"github.com/pistachiotack/pistachiotack/internal/proof"
+	"github.com/pistachiotack/pistachiotack/internal/procs"
 	"github.com/pistachiotack/pistachiotack/pkg/config"
 )
 
@@ -26,7 +26,7 @@
 
 func TestMain(m *testing.M) {
 	code := m.Run()
-	proof.RemoveBinary()
+	procs.RemoveBinary()
 	os.Exit(code)
 }
 
@@ -40,11 +40,11 @@
 }
 
 // start runs a fleet of the example's nodes.
-func start(t *testing.T, options proof.Options) *proof.Fleet {
+func start(t *testing.T, options procs.Options) *procs.Fleet {
 	t.Helper()
 	running <- struct{}{}
 	t.Cleanup(func() { <-running })
-	binary, err := proof.Binary(t.Context())
+	binary, err := procs.Binary(t.Context())
 	require.NoError(t, err)
 	options.Binary = binary
 	options.Directory = t.TempDir()
@@ -53,7 +53,7 @@
 		options.Policy = config.PolicyAdaptive
 	}
 	options.Change = func(n *config.Node) { n.Log.Decisions = true }
-	fleet, clean, err := proof.Start(t.Context(), options)
+	fleet, clean, err := procs.Start(t.Context(), options)
 	require.NoError(t, err)
 	t.Cleanup(clean)
 
@@ -61,7 +61,7 @@
 }
 
 // requireKept fails with the nodes' decisions about the requests whose promise was broken.
-func requireKept(t *testing.T, fleet *proof.Fleet, report *load.Report) {
+func requireKept(t *testing.T, fleet *procs.Fleet, report *load.Report) {
 	t.Helper()
 	for _, broken := range report.Broken {
 		t.Logf("%+v\n%s", broken, fleet.Trail(broken.Record.Operation))
@@ -77,6 +77,6 @@
 	return file
 }
 
-func shortTiming() proof.Timing {
-	return proof.Timing{Before: 1500 * time.Millisecond, During: 1500 * time.Millisecond, After: 5 * time.Second}
+func shortTiming() procs.Timing {
+	return procs.Timing{Before: 1500 * time.Millisecond, During: 1500 * time.Millisecond, After: 5 * time.Second}
 }
--- a/internal/proof/member_test.go
+++ b/internal/procs/member_test.go
@@ -1,4 +1,4 @@
-package proof_test
+package procs_test
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 	"github.com/pistachiotack/pistachiotack/internal/fake"
 	"github.com/pistachiotack/pistachiotack/internal/fault"
 	"github.com/pistachiotack/pistachiotack/internal/gossip"
-	"github.com/pistachiotack/pistachiotack/internal/proof"
+	"github.com/pistachiotack/pistachiotack/internal/procs"
 	"github.com/pistachiotack/pistachiotack/pkg/config"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
 )
@@ -27,7 +27,7 @@
 	node.Fleet.Suspect = config.Duration(time.Second)
 }
 
-func statusOf(t *testing.T, node *proof.Process) gossip.Status {
+func statusOf(t *testing.T, node *procs.Process) gossip.Status {
 	t.Helper()
 	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+node.Settings().Listen.Operators+gossip.PathStatus, nil)
 	require.NoError(t, err)
@@ -40,7 +40,7 @@
 	return status
 }
 
-func stateAt(t *testing.T, observer, subject *proof.Member) member.State {
+func stateAt(t *testing.T, observer, subject *procs.Member) member.State {
 	t.Helper()
 	for _, each := range statusOf(t, observer.Node).Members {
 		if each.ID == subject.Backend.Name {
@@ -52,7 +52,7 @@
 }
 
 // awaitState waits until all observers but the subject see it in that state.
-func awaitState(t *testing.T, observers []*proof.Member, subject *proof.Member, state member.State) {
+func awaitState(t *testing.T, observers []*procs.Member, subject *procs.Member, state member.State) {
 	t.Helper()
 	for _, observer := range observers {
 		if observer != subject {
@@ -62,7 +62,7 @@
 	}
 }
 
-func awaitAllServing(t *testing.T, members []*proof.Member) {
+func awaitAllServing(t *testing.T, members []*procs.Member) {
 	t.Helper()
 	for _, subject := range members {
 		awaitState(t, members, subject, member.StateServing)
@@ -71,15 +71,15 @@
 
 // TestLeavingTargetGetsNoNewWorkAndCutsNothing stops one node of a service under load, with the load on the other entries.
 func TestLeavingTargetGetsNoNewWorkAndCutsNothing(t *testing.T) {
-	fleet := start(t, proof.Options{Example: small(t), Tree: treeOf(t, "rijksbureau")})
+	fleet := start(t, procs.Options{Example: small(t), Tree: treeOf(t, "rijksbureau")})
 	leaver := fleet.Members[0]
 	fleet.SetEntries(fleet.Members[1:])
-	scene := proof.Scene{Name: "leave", Usual: 0.15, Begin: func(context.Context, *proof.Fleet) error {
+	scenario := procs.Scenario{Name: "leave", Usual: 0.15, Begin: func(context.Context, *procs.Fleet) error {
 		leaver.Backend.Server.Change(func(b *fake.Behaviour) { b.Draining = true })
 
 		return leaver.Node.Terminate()
 	}}
-	report, err := fleet.Play(t.Context(), scene, proof.Timing{Before: time.Second, During: 4 * time.Second, After: time.Second}, nil)
+	report, err := fleet.Play(t.Context(), scenario, procs.Timing{Before: time.Second, During: 4 * time.Second, After: time.Second}, nil)
 	require.NoError(t, err)
 	requireKept(t, fleet, report)
 	for i, phase := range report.Phases {
@@ -94,14 +94,14 @@
 
 // TestBackendServersOwnDrainReportCounts lets a backend server say that it drains, while its node stays.
 func TestBackendServersOwnDrainReportCounts(t *testing.T) {
-	fleet := start(t, proof.Options{Example: small(t), Tree: treeOf(t, "rijksbureau")})
+	fleet := start(t, procs.Options{Example: small(t), Tree: treeOf(t, "rijksbureau")})
 	leaver := fleet.Members[0]
-	scene := proof.Scene{Name: "report", Usual: 0.15, Begin: func(context.Context, *proof.Fleet) error {
+	scenario := procs.Scenario{Name: "report", Usual: 0.15, Begin: func(context.Context, *procs.Fleet) error {
 		leaver.Backend.Server.Change(func(b *fake.Behaviour) { b.Draining = true })
 
 		return nil
 	}}
-	report, err := fleet.Play(t.Context(), scene, proof.Timing{Before: time.Second, During: 4 * time.Second, After: time.Second}, nil)
+	report, err := fleet.Play(t.Context(), scenario, procs.Timing{Before: time.Second, During: 4 * time.Second, After: time.Second}, nil)
 	require.NoError(t, err)
 	requireKept(t, fleet, report)
 	require.Zero(t, fleet.Ledger.Totals().AfterDrain)
@@ -109,7 +109,7 @@
 }
 
 func TestPausedNodeCondemnsNobodyAndComesBack(t *testing.T) {
-	fleet := start(t, proof.Options{Example: small(t), Tree: treeOf(t, "rijksbureau"), Change: quick})
+	fleet := start(t, procs.Options{Example: small(t), Tree: treeOf(t, "rijksbureau"), Change: quick})
 	awaitAllServing(t, fleet.Members)
 	sleeper := fleet.Members[1]
 	require.NoError(t, sleeper.Node.Pause())
@@ -124,7 +124,7 @@
 
 func TestKilledNodeReturnsAsANewIncarnation(t *testing.T) {
 	t.Parallel()
-	fleet := start(t, proof.Options{Example: small(t), Tree: treeOf(t, "rijksbureau"), Change: quick})
+	fleet := start(t, procs.Options{Example: small(t), Tree: treeOf(t, "rijksbureau"), Change: quick})
 	awaitAllServing(t, fleet.Members)
 	victim := fleet.Members[2]
 	before := statusOf(t, victim.Node).Incarnation
@@ -138,7 +138,7 @@
 
 func TestDataCentresApartKeepEachOther(t *testing.T) {
 	t.Parallel()
-	fleet := start(t, proof.Options{Example: small(t), Tree: treeOf(t, "rijksbureau"), Linked: true, Change: quick})
+	fleet := start(t, procs.Options{Example: small(t), Tree: treeOf(t, "rijksbureau"), Linked: true, Change: quick})
 	awaitAllServing(t, fleet.Members)
 	apart := fleet.Members[0].Backend.DataCentre
 	fleet.Links().Set(apart, fault.Fault{Silent: true})
--- a/internal/proof/path_test.go
+++ b/internal/procs/path_test.go
@@ -1,4 +1,4 @@
-package proof_test
+package procs_test
 
 import (
 	"net/http"
@@ -9,7 +9,7 @@
 
 	"github.com/pistachiotack/pistachiotack/internal/fake"
 	"github.com/pistachiotack/pistachiotack/internal/load"
-	"github.com/pistachiotack/pistachiotack/internal/proof"
+	"github.com/pistachiotack/pistachiotack/internal/procs"
 	"github.com/pistachiotack/pistachiotack/pkg/call"
 )
 
@@ -18,8 +18,8 @@
 	for _, name := range []string{"rijksbureau", "vysocina"} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			fleet := start(t, proof.Options{Example: example(t, name), Tree: treeOf(t, name)})
-			report, err := fleet.Play(t.Context(), proof.Scene{Name: "calm", Usual: 0.1}, proof.Timing{
+			fleet := start(t, procs.Options{Example: example(t, name), Tree: treeOf(t, name)})
+			report, err := fleet.Play(t.Context(), procs.Scenario{Name: "calm", Usual: 0.1}, procs.Timing{
 				Before: time.Second, During: time.Second, After: time.Second,
 			}, nil)
 			require.NoError(t, err)
@@ -58,11 +58,11 @@
 
 func TestAttemptsStayBoundedWhenEveryHopFails(t *testing.T) {
 	t.Parallel()
-	fleet := start(t, proof.Options{Example: chain()})
+	fleet := start(t, procs.Options{Example: chain()})
 	for _, member := range fleet.Of("kalendar") {
 		member.Backend.Server.Change(func(b *fake.Behaviour) { b.FailShare = 1 })
 	}
-	report, err := fleet.Play(t.Context(), proof.Scene{Name: "chain", Usual: 0.005, Rate: 0.02, Hard: true}, shortTiming(), nil)
+	report, err := fleet.Play(t.Context(), procs.Scenario{Name: "chain", Usual: 0.005, Rate: 0.02, Hard: true}, shortTiming(), nil)
 	require.NoError(t, err)
 	requireKept(t, fleet, report)
 	require.Zero(t, report.Phases[0].Good)
--- a/internal/proof/scene.go
+++ b/internal/procs/scenario.go
@@ -1,4 +1,4 @@
-package proof
+package procs
 
 import (
 	"cmp"
@@ -12,7 +12,7 @@
 	"github.com/pistachiotack/pistachiotack/pkg/config"
 )
 
-// Names of the phases of a scene.
+// Names of the phases of a scenario.
 const (
 	PhaseBefore = "before"
 	PhaseDuring = "during"
@@ -22,14 +22,14 @@
 // ordinaryRate is the rate before and after a trigger, as a share of the capacity.
 const ordinaryRate = 0.7
 
-// Scene is one trigger and what it does to a fleet.
-type Scene struct {
+// Scenario is one trigger and what it does to a fleet.
+type Scenario struct {
 	Name string
 	// Usual is the rate before and after the trigger as a share of the capacity, zero for the ordinary one.
 	Usual float64
 	// Rate is the rate during the trigger as a share of the capacity, zero for the usual one.
 	Rate float64
-	// Linked says that the scene needs proxies between the nodes.
+	// Linked says that the scenario needs proxies between the nodes.
 	Linked bool
 	// Hard makes the callers ask again at once during the trigger.
 	Hard bool
@@ -49,9 +49,9 @@
 	thirdOfAll = 3
 )
 
-// Scenes returns the triggers of overload and of misleading targets.
-func Scenes() []Scene {
-	return []Scene{
+// Scenarios returns the triggers of overload and of misleading targets.
+func Scenarios() []Scenario {
+	return []Scenario{
 		{Name: "surge", Rate: surgeRate},
 		{Name: "slow", Begin: slowDeep(slowFactor), End: slowDeep(1)},
 		{Name: "hard", Rate: hardRate, Hard: true},
@@ -63,15 +63,15 @@
 	}
 }
 
-// FindScene returns the scene of that name among those given.
-func FindScene(scenes []Scene, name string) (Scene, error) {
-	for _, scene := range scenes {
-		if scene.Name == name {
-			return scene, nil
+// FindScenario returns the scenario of that name among those given.
+func FindScenario(scenarios []Scenario, name string) (Scenario, error) {
+	for _, scenario := range scenarios {
+		if scenario.Name == name {
+			return scenario, nil
 		}
 	}
 
-	return Scene{}, errors.Newf("unknown scene %q", name)
+	return Scenario{}, errors.Newf("unknown scenario %q", name)
 }
 
 // lying makes a server slow while it reports that it is idle.
@@ -136,43 +136,43 @@
 	After  time.Duration
 }
 
-// Play drives load at the fleet while the scene happens.
-func (f *Fleet) Play(ctx context.Context, scene Scene, timing Timing, progress func(load.Point)) (*load.Report, error) {
+// Play drives load at the fleet while the scenario happens.
+func (f *Fleet) Play(ctx context.Context, scenario Scenario, timing Timing, progress func(load.Point)) (*load.Report, error) {
 	capacity, _ := f.options.Example.Capacity()
-	ordinary := cmp.Or(scene.Usual, ordinaryRate)
-	rate := cmp.Or(scene.Rate, ordinary)
+	ordinary := cmp.Or(scenario.Usual, ordinaryRate)
+	rate := cmp.Or(scenario.Rate, ordinary)
 	usual := load.MannerPatient
 	if f.options.Policy == PolicyNone {
 		usual = load.MannerNaive
 	}
 	during := usual
-	if scene.Hard {
+	if scenario.Hard {
 		during = load.MannerHard
 	}
 	switched := make(chan error, 2)
 	report, err := load.Run(ctx, load.Plan{
-		Name: scene.Name, Variant: f.options.Policy, Seed: f.options.Seed, Example: f.options.Example,
+		Name: scenario.Name, Variant: f.options.Policy, Seed: f.options.Seed, Example: f.options.Example,
 		Phases: []load.Phase{
 			{Name: PhaseBefore, Time: timing.Before, Rate: ordinary * capacity},
 			{Name: PhaseDuring, Time: timing.During, Rate: rate * capacity},
 			{Name: PhaseAfter, Time: timing.After, Rate: ordinary * capacity},
 		},
 		Manners: []load.Manner{usual, during, usual},
-		Picker:  f, Ledger: f.Ledger, Prefix: scene.Name, Progress: progress,
-		Begin: func(phase int) { f.change(ctx, scene, phase, switched) },
+		Picker:  f, Ledger: f.Ledger, Prefix: scenario.Name, Progress: progress,
+		Begin: func(phase int) { f.change(ctx, scenario, phase, switched) },
 	})
 
 	return report, errors.CombineErrors(err, collect(switched))
 }
 
 // change starts the switch of a phase beside the arrivals, which must not wait for it.
-func (f *Fleet) change(ctx context.Context, scene Scene, phase int, switched chan<- error) {
+func (f *Fleet) change(ctx context.Context, scenario Scenario, phase int, switched chan<- error) {
 	var act func(context.Context, *Fleet) error
 	switch phase {
 	case 1:
-		act = scene.Begin
+		act = scenario.Begin
 	case 2:
-		act = scene.End
+		act = scenario.End
 	}
 	if act == nil {
 		if phase > 0 {
--- a/internal/proof/settings_test.go
+++ b/internal/procs/settings_test.go
@@ -1,4 +1,4 @@
-package proof_test
+package procs_test
 
 import (
 	"bytes"
@@ -14,12 +14,12 @@
 	"github.com/pistachiotack/pistachiotack/internal/cmds"
 	"github.com/pistachiotack/pistachiotack/internal/load"
 	"github.com/pistachiotack/pistachiotack/internal/plat"
-	"github.com/pistachiotack/pistachiotack/internal/proof"
+	"github.com/pistachiotack/pistachiotack/internal/procs"
 	"github.com/pistachiotack/pistachiotack/pkg/tree"
 )
 
 // operator runs a settings command against a node and returns what it prints and its exit code.
-func operator(ctx context.Context, member *proof.Member, args ...string) (string, int) {
+func operator(ctx context.Context, member *procs.Member, args ...string) (string, int) {
 	var out bytes.Buffer
 	env := cmds.Env{Context: ctx, Out: &out, Err: &out}
 	code := cmds.Run(env, append([]string{"settings", "--node", member.Node.Settings().Listen.Operators}, args...))
@@ -47,7 +47,7 @@
 }
 
 // holds waits until each of the nodes shows the revision.
-func holds(t *testing.T, members []*proof.Member, header string) {
+func holds(t *testing.T, members []*procs.Member, header string) {
 	t.Helper()
 	for _, member := range members {
 		require.Eventually(t, func() bool {
@@ -65,11 +65,11 @@
 	// Targets with few slots refuse important calls now and then, which entries place elsewhere; these have slots to spare.
 	roomy := example(t, "rijksbureau")
 	roomy.Scale = load.DefaultScale
-	fleet := start(t, proof.Options{Example: roomy, Tree: good})
+	fleet := start(t, procs.Options{Example: roomy, Tree: good})
 	var violations load.Violations
 	ended := make(chan error, 1)
 	go func() {
-		report, err := fleet.Play(t.Context(), proof.Scene{Name: "edits", Usual: 0.2}, proof.Timing{
+		report, err := fleet.Play(t.Context(), procs.Scenario{Name: "edits", Usual: 0.2}, procs.Timing{
 			Before: 6 * time.Second, During: 2 * time.Second, After: 2 * time.Second,
 		}, nil)
 		if err == nil {
@@ -95,7 +95,7 @@
 	replaced := fleet.Members[2]
 	require.NoError(t, replaced.Node.Kill())
 	require.NoError(t, replaced.Node.Restart(t.Context()))
-	holds(t, []*proof.Member{replaced}, "# revision 1,")
+	holds(t, []*procs.Member{replaced}, "# revision 1,")
 	fleet.Platform.SetFault(plat.NewFault(plat.ModeNone))
 	require.Eventually(t, func() bool {
 		out, code = operator(t.Context(), fleet.Members[1], "log")
--- a/internal/proof/stall_test.go
+++ b/internal/procs/stall_test.go
@@ -1,4 +1,4 @@
-package proof_test
+package procs_test
 
 import (
 	"io"
--- a/internal/proof/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package proof runs real node processes with stand-ins around them, for integration tests and for the bench.
-package proof
--- a/pkg/admit/gate.go
+++ b/pkg/admit/gate.go
@@ -31,7 +31,7 @@
 
 	running   map[call.ID]running
 	queue     queue
-	crowd     *crowd
+	occupancy *occupancy
 	estimates *estimates
 	threshold threshold
 	reserve   reserve
@@ -44,15 +44,15 @@
 
 // New returns an empty gate.
 func New(settings Settings, limit int, rng *rand.Rand) *Gate {
-	crowd := newCrowd()
+	occupancy := newOccupancy()
 
 	return &Gate{
 		settings:  settings,
 		limit:     limit,
 		rng:       rng,
 		running:   map[call.ID]running{},
-		queue:     queue{crowd: crowd},
-		crowd:     crowd,
+		queue:     queue{occupancy: occupancy},
+		occupancy: occupancy,
 		estimates: newEstimates(),
 	}
 }
@@ -150,7 +150,7 @@
 }
 
 func (g *Gate) enter(item *Item, left time.Duration) {
-	g.crowd.add(item.key())
+	g.occupancy.add(item.key())
 	g.bytes += item.Bytes
 	g.reserve.enter(item, left)
 	if item.Stream {
@@ -175,7 +175,7 @@
 }
 
 func (g *Gate) leave(item *Item) {
-	g.crowd.remove(item.key())
+	g.occupancy.remove(item.key())
 	g.bytes -= item.Bytes
 	g.reserve.leave(item)
 }
--- a/pkg/admit/queue.go
+++ b/pkg/admit/queue.go
@@ -27,18 +27,18 @@
 	return callerKey{class: i.Rank.Class(), caller: i.Caller}
 }
 
-// crowd counts for each class the calls that run or wait, and for each caller its part of them.
-type crowd struct {
+// occupancy counts for each class the calls that run or wait, and for each caller its part of them.
+type occupancy struct {
 	callers map[callerKey]int
 	total   [call.ClassVital + 1]int
 	active  [call.ClassVital + 1]int
 }
 
-func newCrowd() *crowd {
-	return &crowd{callers: map[callerKey]int{}}
+func newOccupancy() *occupancy {
+	return &occupancy{callers: map[callerKey]int{}}
 }
 
-func (c *crowd) add(key callerKey) {
+func (c *occupancy) add(key callerKey) {
 	if c.callers[key] == 0 {
 		c.active[key.class]++
 	}
@@ -46,7 +46,7 @@
 	c.total[key.class]++
 }
 
-func (c *crowd) remove(key callerKey) {
+func (c *occupancy) remove(key callerKey) {
 	c.callers[key]--
 	c.total[key.class]--
 	if c.callers[key] == 0 {
@@ -56,7 +56,7 @@
 }
 
 // over reports whether the caller has more than an even part of its class.
-func (c *crowd) over(key callerKey) bool {
+func (c *occupancy) over(key callerKey) bool {
 	active := c.active[key.class]
 
 	return active > 1 && c.callers[key]*active > c.total[key.class]+active
@@ -64,8 +64,8 @@
 
 // queue holds the items that wait.
 type queue struct {
-	items []waiting
-	crowd *crowd
+	items     []waiting
+	occupancy *occupancy
 }
 
 // before reports whether a runs before b: class, callers within their part, and then the oldest first,
@@ -74,7 +74,7 @@
 	if x, y := a.item.Rank.Class(), b.item.Rank.Class(); x != y {
 		return x > y
 	}
-	if x, y := q.crowd.over(a.item.key()), q.crowd.over(b.item.key()); x != y {
+	if x, y := q.occupancy.over(a.item.key()), q.occupancy.over(b.item.key()); x != y {
 		return y
 	}
 	if !old {
--- a/pkg/admit/wait.go
+++ b/pkg/admit/wait.go
@@ -28,7 +28,7 @@
 func (g *Gate) displace(now time.Time, decisions []Decision) []Decision {
 	w := g.queue.take(g.queue.last(now))
 	reason := call.ReasonQueueFull
-	if g.crowd.over(w.item.key()) {
+	if g.occupancy.over(w.item.key()) {
 		reason = call.ReasonFairShare
 	}
 	g.leave(&w.item)
--- a/pkg/config/check.go
+++ b/pkg/config/check.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"github.com/pistachiotack/pistachiotack/pkg/near"
+	"github.com/pistachiotack/pistachiotack/pkg/spell"
 )
 
 // Rails of the settings file.
@@ -108,7 +108,7 @@
 // suggestion names the known key that is nearest to an unknown one.
 func suggestion(key string) string {
 	name := key[strings.LastIndexByte(key, '.')+1:]
-	best := near.Nearest(name, keysOf(reflect.TypeFor[Node]()))
+	best := spell.Nearest(name, keysOf(reflect.TypeFor[Node]()))
 	if best == "" {
 		return ""
 	}
--- a/pkg/fanout/learn.go
+++ b/pkg/fanout/learn.go
@@ -8,10 +8,10 @@
 const (
 	// forgetting is the weight that a window keeps when the next one closes.
 	forgetting = 0.98
-	// doubtFirst is the variance of an estimate of which nothing is known, in calls squared.
-	doubtFirst = 4.0
-	// doubtMost bounds the variance, which would grow without end for routes that are no longer executed.
-	doubtMost = 100.0
+	// varianceFirst is the variance of an estimate of which nothing is known, in calls squared.
+	varianceFirst = 4.0
+	// varianceMost bounds the variance, which would grow without end for routes that are no longer executed.
+	varianceMost = 100.0
 	// callsMost bounds the calls of one kind that an execution is believed to make.
 	callsMost = 64.0
 	// leastCalls is the estimate below which a route counts as not called.
@@ -32,11 +32,11 @@
 // Recursive least squares with forgetting solve them, which tells routes apart that are executed at very different rates.
 // Its owner serialises calls.
 type Learner struct {
-	routes   []string
-	executed []float64
-	doubt    [][]float64
-	called   map[string]float64
-	weights  map[string][]float64
+	routes     []string
+	executed   []float64
+	covariance [][]float64
+	called     map[string]float64
+	weights    map[string][]float64
 	// noise is the variance of the calls that the estimates miss in a window.
 	noise map[string]float64
 	// windows counts for each executed route the windows in which it was executed.
@@ -66,11 +66,11 @@
 	l.executed = append(l.executed, 0)
 	l.windows = append(l.windows, 0)
 	size := len(l.routes)
-	for i := range l.doubt {
-		l.doubt[i] = append(l.doubt[i], 0)
+	for i := range l.covariance {
+		l.covariance[i] = append(l.covariance[i], 0)
 	}
-	l.doubt = append(l.doubt, make([]float64, size))
-	l.doubt[size-1][size-1] = doubtFirst
+	l.covariance = append(l.covariance, make([]float64, size))
+	l.covariance[size-1][size-1] = varianceFirst
 	for called := range l.weights {
 		l.weights[called] = append(l.weights[called], 0)
 	}
@@ -80,7 +80,7 @@
 
 // reset forgets everything, as when the operators have replaced many routes.
 func (l *Learner) reset() {
-	l.routes, l.executed, l.windows, l.doubt = nil, nil, nil, nil
+	l.routes, l.executed, l.windows, l.covariance = nil, nil, nil, nil
 	clear(l.weights)
 	clear(l.called)
 	clear(l.noise)
@@ -121,7 +121,7 @@
 	}
 	for called := range l.weights {
 		calls := l.Calls(executed, called)
-		deviation := math.Sqrt(l.noise[called] * l.doubt[place][place])
+		deviation := math.Sqrt(l.noise[called] * l.covariance[place][place])
 		if calls >= leastCalls && calls >= certainty*deviation {
 			found[called] = calls
 		}
@@ -153,7 +153,7 @@
 	gain = make([]float64, len(l.routes))
 	scale := forgetting
 	for i := range l.routes {
-		gain[i] = dot(l.doubt[i], l.executed)
+		gain[i] = dot(l.covariance[i], l.executed)
 		scale += gain[i] * l.executed[i]
 		norm += l.executed[i] * l.executed[i]
 		if l.executed[i] > 0 {
@@ -167,30 +167,30 @@
 	return gain, norm
 }
 
-// trust lowers the doubt in the directions that the window has measured, and raises it by what is forgotten.
+// trust lowers the variance in the directions that the window has measured, and raises it by what is forgotten.
 func (l *Learner) trust(gain []float64) {
 	along := make([]float64, len(l.routes))
 	for i := range l.routes {
-		along[i] = dot(l.doubt[i], l.executed)
+		along[i] = dot(l.covariance[i], l.executed)
 	}
-	for i := range l.doubt {
-		for j := range l.doubt[i] {
-			l.doubt[i][j] = (l.doubt[i][j] - gain[i]*along[j]) / forgetting
+	for i := range l.covariance {
+		for j := range l.covariance[i] {
+			l.covariance[i][j] = (l.covariance[i][j] - gain[i]*along[j]) / forgetting
 		}
 	}
-	for i := range l.doubt {
-		if l.doubt[i][i] > doubtMost {
-			l.limitDoubt(i)
+	for i := range l.covariance {
+		if l.covariance[i][i] > varianceMost {
+			l.limitVariance(i)
 		}
 	}
 }
 
-// limitDoubt scales one route's row and column down to the most doubt allowed.
-func (l *Learner) limitDoubt(place int) {
-	factor := math.Sqrt(doubtMost / l.doubt[place][place])
-	for j := range l.doubt {
-		l.doubt[place][j] *= factor
-		l.doubt[j][place] *= factor
+// limitVariance scales one route's row and column down to the most variance allowed.
+func (l *Learner) limitVariance(place int) {
+	factor := math.Sqrt(varianceMost / l.covariance[place][place])
+	for j := range l.covariance {
+		l.covariance[place][j] *= factor
+		l.covariance[j][place] *= factor
 	}
 }
 
--- a/pkg/member/fleet.go
+++ b/pkg/member/fleet.go
@@ -28,11 +28,11 @@
 	clashed time.Time
 	resumed time.Time
 	// deafUntil is the time before which a message may be older than the tombstones that it contradicts.
-	deafUntil time.Time
-	schedule  schedule
-	doubts    []doubt
-	reached   map[string]reachability
-	contacts  []string
+	deafUntil  time.Time
+	schedule   schedule
+	unverified []unverifiedFault
+	reached    map[string]reachability
+	contacts   []string
 }
 
 // record is an entry and the time of its last verdict, counted from the fleet's start.
--- a/pkg/member/tick.go
+++ b/pkg/member/tick.go
@@ -6,7 +6,7 @@
 func (f *Fleet) Tick(now time.Time) []Action {
 	f.checkPause(now)
 	f.lastTick = now
-	actions := f.judgeDoubts(now)
+	actions := f.judgeUnverified(now)
 	if !f.changes.empty() {
 		actions = append(actions, f.gossip(now)...)
 	}
@@ -50,7 +50,7 @@
 	f.lastTick = now
 	f.note(f.self.ID, f.self.State, f.self.State, ReasonPaused)
 	f.resumed = now
-	f.doubts = nil
+	f.unverified = nil
 	clear(f.reached)
 	for _, known := range f.records {
 		if known.entry.State == StateSuspect {
@@ -87,7 +87,7 @@
 	return actions
 }
 
-// probe exchanges with one random node, with one in a data centre that is cut off, and with one beside a node in doubt.
+// probe exchanges with one random node, with one in a data centre that is cut off, and with one beside a node in question.
 func (f *Fleet) probe(now time.Time) []Action {
 	var actions []Action
 	if entry := f.pick(callable); entry != nil {
@@ -103,13 +103,13 @@
 	return actions
 }
 
-// witness returns a node in the data centre of one that is in doubt or suspect and waits for proof, nil if there is none.
+// witness returns a node in the data centre of one that is in question or suspect and waits for proof, nil if there is none.
 func (f *Fleet) witness() *Entry {
 	subject := f.pick(func(e *Entry) bool {
 		return e.State == StateSuspect && !f.answeredSince(e, f.start.Add(f.records[e.ID].since))
 	})
-	if len(f.doubts) > 0 {
-		if known, found := f.records[f.doubts[0].id]; found {
+	if len(f.unverified) > 0 {
+		if known, found := f.records[f.unverified[0].id]; found {
 			subject = known.entry
 		}
 	}
--- a/pkg/member/doubt.go
+++ b/pkg/member/verify.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// doubt is a node that did not answer, while it is open whether the fault lies with it or with the way to it.
-type doubt struct {
+// unverifiedFault is a node that did not answer, while it is open whether the fault lies with it or with the way to it.
+type unverifiedFault struct {
 	id    string
 	since time.Time
 	// failures counts calls without an answer, retried is when the last one was made.
@@ -43,9 +43,9 @@
 	f.settle(entry.ID)
 }
 
-// settle drops the doubt about a node.
+// settle drops the unverified fault of a node.
 func (f *Fleet) settle(id string) {
-	f.doubts = slices.DeleteFunc(f.doubts, func(d doubt) bool { return d.id == id })
+	f.unverified = slices.DeleteFunc(f.unverified, func(d unverifiedFault) bool { return d.id == id })
 }
 
 // Exchanged takes in the answer to an exchange.
@@ -103,15 +103,15 @@
 		return nil
 	}
 	f.failed(known.entry.DataCentre, action.Sent)
-	if at := slices.IndexFunc(f.doubts, func(d doubt) bool { return d.id == action.To }); at >= 0 {
-		f.doubts[at].failures++
+	if at := slices.IndexFunc(f.unverified, func(d unverifiedFault) bool { return d.id == action.To }); at >= 0 {
+		f.unverified[at].failures++
 
 		return nil
 	}
 	if known.entry.State == StateSuspect {
 		return nil
 	}
-	f.doubts = append(f.doubts, doubt{id: action.To, since: action.Sent, failures: 1, retried: now})
+	f.unverified = append(f.unverified, unverifiedFault{id: action.To, since: action.Sent, failures: 1, retried: now})
 
 	return f.askOthers(now, known.entry)
 }
@@ -145,11 +145,11 @@
 	return actions
 }
 
-// judgeDoubts suspects nodes that did not answer twice while others in their data centre did, and returns the second calls.
-func (f *Fleet) judgeDoubts(now time.Time) []Action {
+// judgeUnverified suspects nodes that did not answer twice while others in their data centre did, and returns the second calls.
+func (f *Fleet) judgeUnverified(now time.Time) []Action {
 	var retries []Action
-	open := f.doubts[:0]
-	for _, d := range f.doubts {
+	open := f.unverified[:0]
+	for _, d := range f.unverified {
 		known, found := f.records[d.id]
 		waited := now.Sub(d.since)
 		switch {
@@ -164,7 +164,7 @@
 			open = append(open, d)
 		}
 	}
-	f.doubts = open
+	f.unverified = open
 
 	return retries
 }
--- a/pkg/near/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package near names the known word that a mistyped one was meant to be.
-package near
--- /dev/null
+++ b/pkg/spell/doc.go
@@ -0,0 +1,2 @@
+// Package spell names the known word that a mistyped one was meant to be.
+package spell
--- a/pkg/near/near.go
+++ b/pkg/spell/spell.go
@@ -1,4 +1,4 @@
-package near
+package spell
 
 import "strings"
 
--- a/pkg/near/near_test.go
+++ b/pkg/spell/spell_test.go
@@ -1,11 +1,11 @@
-package near_test
+package spell_test
 
 import (
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/pistachiotack/pistachiotack/pkg/near"
+	"github.com/pistachiotack/pistachiotack/pkg/spell"
 )
 
 func TestNearest(t *testing.T) {
@@ -20,7 +20,7 @@
 	}
 	for name, want := range tests {
 		t.Run(name, func(t *testing.T) {
-			require.Equal(t, want, near.Nearest(name, known))
+			require.Equal(t, want, spell.Nearest(name, known))
 		})
 	}
 }
--- a/pkg/pulse/pulse.go
+++ b/pkg/stall/stall.go
@@ -1,4 +1,4 @@
-package pulse
+package stall
 
 import "time"
 
@@ -13,21 +13,21 @@
 	mostKinds = 256
 )
 
-// Pulse follows the calls that run on one backend server; its owner serialises calls.
-type Pulse struct {
+// Detector follows the calls that run on one backend server; its owner serialises calls.
+type Detector struct {
 	running int
 	// lastSign is when a call ended with an answer, or when calls began to run.
 	lastSign time.Time
 	usual    map[string]time.Duration
 }
 
-// New returns the pulse of a server that has not run a call yet.
-func New() *Pulse {
-	return &Pulse{usual: map[string]time.Duration{}}
+// New returns the detector of a server that has not run a call yet.
+func New() *Detector {
+	return &Detector{usual: map[string]time.Duration{}}
 }
 
 // Start counts a call that begins to run.
-func (p *Pulse) Start(now time.Time) {
+func (p *Detector) Start(now time.Time) {
 	if p.running == 0 {
 		p.lastSign = now
 	}
@@ -35,7 +35,7 @@
 }
 
 // Answered counts a call that ended with an answer, whatever it says.
-func (p *Pulse) Answered(now time.Time, kind string, took time.Duration) {
+func (p *Detector) Answered(now time.Time, kind string, took time.Duration) {
 	p.running--
 	p.lastSign = now
 	known, found := p.usual[kind]
@@ -48,12 +48,12 @@
 }
 
 // Lost counts a call that ended without an answer, which is no sign of life.
-func (p *Pulse) Lost() {
+func (p *Detector) Lost() {
 	p.running--
 }
 
 // Stalled reports whether calls run, but none has ended for far longer than one of that kind usually takes.
-func (p *Pulse) Stalled(now time.Time, kind string) bool {
+func (p *Detector) Stalled(now time.Time, kind string) bool {
 	usual, known := p.usual[kind]
 	if !known || p.running == 0 {
 		return false
--- a/pkg/pulse/pulse_test.go
+++ b/pkg/stall/stall_test.go
@@ -1,4 +1,4 @@
-package pulse_test
+package stall_test
 
 import (
 	"testing"
@@ -7,7 +7,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"github.com/pistachiotack/pistachiotack/pkg/pulse"
+	"github.com/pistachiotack/pistachiotack/pkg/stall"
 )
 
 const (
@@ -19,9 +19,9 @@
 	return time.UnixMilli(int64(ms))
 }
 
-// learnt returns a pulse whose reads take 50 ms and exports 2 s, with nothing running at 10 s.
-func learnt() *pulse.Pulse {
-	p := pulse.New()
+// learnt returns a detector whose reads take 50 ms and exports 2 s, with nothing running at 10 s.
+func learnt() *stall.Detector {
+	p := stall.New()
 	for range 20 {
 		p.Start(at(0))
 		p.Answered(at(10_000), read, 50*time.Millisecond)
--- a/pkg/tree/check.go
+++ b/pkg/tree/check.go
@@ -5,7 +5,7 @@
 	"slices"
 	"strings"
 
-	"github.com/pistachiotack/pistachiotack/pkg/near"
+	"github.com/pistachiotack/pistachiotack/pkg/spell"
 )
 
 // declare takes over the places and services that the text declares.
@@ -67,7 +67,7 @@
 	if len(known) == 0 {
 		allowed = "none is declared in " + where
 	}
-	r.add(code, table.path.String(), table.line, fmt.Sprintf("%q", name), near.Nearest(name, known), allowed)
+	r.add(code, table.path.String(), table.line, fmt.Sprintf("%q", name), spell.Nearest(name, known), allowed)
 }
 
 // checkKinds refuses kinds without a pattern, or with one that another kind has as well.
@@ -93,7 +93,7 @@
 		}
 		method, stated := r.tree.Stated(path.Dotted(keyMethod))
 		if stated && !slices.Contains(methods, method.Value.text) {
-			r.add(CodeBadUnit, method.Dotted(), method.Line, method.Value.String(), near.Nearest(method.Value.text, methods), strings.Join(methods, ", "))
+			r.add(CodeBadUnit, method.Dotted(), method.Line, method.Value.String(), spell.Nearest(method.Value.text, methods), strings.Join(methods, ", "))
 		}
 		match := path.Service + " " + method.Value.text + " " + pattern.Value.text
 		if other, taken := patterns[match]; taken {
--- a/pkg/tree/edit.go
+++ b/pkg/tree/edit.go
@@ -5,7 +5,7 @@
 	"slices"
 	"strings"
 
-	"github.com/pistachiotack/pistachiotack/pkg/near"
+	"github.com/pistachiotack/pistachiotack/pkg/spell"
 
 	"github.com/pelletier/go-toml/v2/unstable"
 )
@@ -29,7 +29,7 @@
 	}
 	key, known := FindKey(rest[0])
 	if !known {
-		return nil, Problems{{Code: CodeUnknownKey, Path: dotted, Got: fmt.Sprintf("%q", rest[0]), Nearest: near.Nearest(rest[0], keyNames)}}
+		return nil, Problems{{Code: CodeUnknownKey, Path: dotted, Got: fmt.Sprintf("%q", rest[0]), Nearest: spell.Nearest(rest[0], keyNames)}}
 	}
 	change := Change{Path: path, Key: key.Name}
 	if before, found := t.Stated(dotted); found {
--- a/pkg/tree/parse.go
+++ b/pkg/tree/parse.go
@@ -5,7 +5,7 @@
 	"slices"
 	"strings"
 
-	"github.com/pistachiotack/pistachiotack/pkg/near"
+	"github.com/pistachiotack/pistachiotack/pkg/spell"
 
 	"github.com/cockroachdb/errors"
 	"github.com/pelletier/go-toml/v2"
@@ -210,7 +210,7 @@
 	r.tree.headers = append(r.tree.headers, header{path: path, span: at})
 	if len(rest) > 0 {
 		r.add(CodeUnknownKey, strings.Join(parts, "."), line, fmt.Sprintf("%q", rest[0]),
-			near.Nearest(rest[0], []string{levelPlace, levelService, levelKind}), "place.NAME, service.NAME, service.NAME.kind.NAME, place.NAME.service.NAME")
+			spell.Nearest(rest[0], []string{levelPlace, levelService, levelKind}), "place.NAME, service.NAME, service.NAME.kind.NAME, place.NAME.service.NAME")
 
 		return
 	}
@@ -221,13 +221,13 @@
 	dotted := strings.Join(parts, ".")
 	path, rest := splitPath(parts)
 	if len(rest) != 1 {
-		r.add(CodeUnknownKey, dotted, line, "", near.Nearest(parts[0], []string{levelPlace, levelService}), "place.NAME, service.NAME, service.NAME.kind.NAME, place.NAME.service.NAME")
+		r.add(CodeUnknownKey, dotted, line, "", spell.Nearest(parts[0], []string{levelPlace, levelService}), "place.NAME, service.NAME, service.NAME.kind.NAME, place.NAME.service.NAME")
 
 		return
 	}
 	key, known := FindKey(rest[0])
 	if !known {
-		r.add(CodeUnknownKey, dotted, line, fmt.Sprintf("%q", rest[0]), near.Nearest(rest[0], keyNames), "")
+		r.add(CodeUnknownKey, dotted, line, fmt.Sprintf("%q", rest[0]), spell.Nearest(rest[0], keyNames), "")
 
 		return
 	}
--- a/pkg/tree/value.go
+++ b/pkg/tree/value.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"github.com/pistachiotack/pistachiotack/pkg/near"
+	"github.com/pistachiotack/pistachiotack/pkg/spell"
 
 	"github.com/pelletier/go-toml/v2/unstable"
 
@@ -174,7 +174,7 @@
 		v.number = float64(size)
 	case TypeClass:
 		bad.Allowed = "bulk, normal, high, vital"
-		bad.Nearest = near.Nearest(text, []string{"bulk", "normal", "high", "vital"})
+		bad.Nearest = spell.Nearest(text, []string{"bulk", "normal", "high", "vital"})
 		class, err := call.ParseClass(text)
 		if err != nil {
 			return bad
--- a/tools/bench/latency.go
+++ b/tools/bench/latency.go
@@ -10,7 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/pistachiotack/pistachiotack/internal/proof"
+	"github.com/pistachiotack/pistachiotack/internal/procs"
 )
 
 type latencyCommand struct {
@@ -25,8 +25,8 @@
 
 // Run measures the paired run, then the closed loop.
 func (l *latencyCommand) Run(ctx context.Context) error {
-	defer proof.RemoveBinary()
-	binary, err := proof.Binary(ctx)
+	defer procs.RemoveBinary()
+	binary, err := procs.Binary(ctx)
 	if err != nil {
 		return err
 	}
@@ -36,7 +36,7 @@
 	}
 	defer func() { _ = os.RemoveAll(directory) }()
 
-	result, err := proof.MeasureLatency(ctx, proof.LatencyOptions{
+	result, err := procs.MeasureLatency(ctx, procs.LatencyOptions{
 		Binary: binary, Directory: directory, Policy: l.Policy, Decisions: l.Log,
 		Rate: l.Rate, Work: l.Work, Time: l.Time, Loop: l.Loop, Seed: l.Seed,
 	})
@@ -47,18 +47,18 @@
 	return l.print(result)
 }
 
-func (l *latencyCommand) print(r *proof.Latency) error {
+func (l *latencyCommand) print(r *procs.Latency) error {
 	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	line := func(format string, args ...any) { _, _ = fmt.Fprintf(out, format+"\n", args...) }
 	line("%d cores, %s, %s, seed %d, policy %s, decision log %t",
 		runtime.NumCPU(), runtime.Version(), time.Now().UTC().Format(time.RFC3339), l.Seed, l.Policy, l.Log)
 	line("open loop, %.0f calls/s each way\tcalls\tfailed\tp50\tp90\tp99\tp99.9", l.Rate)
-	for _, way := range []proof.Way{r.Direct, r.Through} {
+	for _, way := range []procs.Way{r.Direct, r.Through} {
 		line("%s\t%d\t%d\t%s\t%s\t%s\t%s", way.Name, way.Calls, way.Failed, way.P50, way.P90, way.P99, way.P999)
 	}
 	line("added\t\t\t%s\t%s\t%s\t%s", r.Through.P50-r.Direct.P50, r.Through.P90-r.Direct.P90, r.Through.P99-r.Direct.P99, r.Through.P999-r.Direct.P999)
 	line("closed loop, %d callers\tcalls/s\tfailed\tp50\tp90\tp99\tp99.9", l.Loop)
-	for _, way := range []proof.Way{r.LoopDirect, r.LoopThrough} {
+	for _, way := range []procs.Way{r.LoopDirect, r.LoopThrough} {
 		line("%s\t%.0f\t%d\t%s\t%s\t%s\t%s", way.Name, way.Rate, way.Failed, way.P50, way.P90, way.P99, way.P999)
 	}
 	line("node\tCPU per call (open loop)\tCPU per call (closed loop)\tresident at rest\tafter load\tpeak")
--- a/tools/bench/main.go
+++ b/tools/bench/main.go
@@ -11,7 +11,7 @@
 
 // cli holds the commands.
 type cli struct {
-	Run     runCommand     `cmd:"" help:"Play one scene (or all) against each variant and compare goodput and recovery."`
+	Run     runCommand     `cmd:"" help:"Play one scenario (or all) against each variant and compare goodput and recovery."`
 	Latency latencyCommand `cmd:"" help:"Pair calls through two nodes with direct calls and print what the nodes add."`
 }
 
--- a/tools/bench/plot.go
+++ b/tools/bench/plot.go
@@ -19,7 +19,7 @@
 	smooth = 4
 )
 
-// plotReports draws goodput over time of all variants of one scene.
+// plotReports draws goodput over time of all variants of one scenario.
 func plotReports(file string, reports []*load.Report) error {
 	if len(reports) == 0 {
 		return nil
--- a/tools/bench/run.go
+++ b/tools/bench/run.go
@@ -13,7 +13,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pistachiotack/pistachiotack/internal/load"
-	"github.com/pistachiotack/pistachiotack/internal/proof"
+	"github.com/pistachiotack/pistachiotack/internal/procs"
 )
 
 const (
@@ -22,7 +22,7 @@
 )
 
 type runCommand struct {
-	Scene    []string      `help:"Scenes to play, \"each\" for all triggers of overload, \"faults\" for all faults." default:"each"`
+	Scenario []string      `help:"Scenarios to play, \"each\" for all triggers of overload, \"faults\" for all faults." default:"each"`
 	Example  string        `help:"Example whose services and mix are used." enum:"rijksbureau,vysocina" default:"rijksbureau"`
 	Variants []string      `help:"Variants in order: none, baseline, adaptive." default:"none,baseline,adaptive"`
 	Seed     uint64        `help:"Seed of arrivals, kinds and service times." default:"1"`
@@ -33,10 +33,10 @@
 	Out      string        `help:"Directory for tables, JSON, plots and logs." default:"out"`
 }
 
-// Run plays the scenes one after the other.
+// Run plays the scenarios one after the other.
 func (r *runCommand) Run(ctx context.Context) error {
-	defer proof.RemoveBinary()
-	binary, err := proof.Binary(ctx)
+	defer procs.RemoveBinary()
+	binary, err := procs.Binary(ctx)
 	if err != nil {
 		return err
 	}
@@ -44,8 +44,8 @@
 		return errors.Wrap(err, "make output directory")
 	}
 	fmt.Printf("%d cores, %s, %s\n\n", runtime.NumCPU(), runtime.Version(), time.Now().UTC().Format(time.RFC3339))
-	for _, scene := range r.scenes() {
-		if err = r.compare(ctx, binary, scene); err != nil {
+	for _, scenario := range r.scenarios() {
+		if err = r.compare(ctx, binary, scenario); err != nil {
 			return err
 		}
 	}
@@ -53,14 +53,14 @@
 	return nil
 }
 
-func (r *runCommand) scenes() []string {
+func (r *runCommand) scenarios() []string {
 	var names []string
-	for _, name := range r.Scene {
+	for _, name := range r.Scenario {
 		switch name {
 		case "each":
-			names = append(names, namesOf(proof.Scenes())...)
+			names = append(names, namesOf(procs.Scenarios())...)
 		case "faults":
-			names = append(names, namesOf(proof.Faults())...)
+			names = append(names, namesOf(procs.Faults())...)
 		default:
 			names = append(names, name)
 		}
@@ -69,26 +69,26 @@
 	return names
 }
 
-func namesOf(scenes []proof.Scene) []string {
-	names := make([]string, 0, len(scenes))
-	for _, scene := range scenes {
-		names = append(names, scene.Name)
+func namesOf(scenarios []procs.Scenario) []string {
+	names := make([]string, 0, len(scenarios))
+	for _, scenario := range scenarios {
+		names = append(names, scenario.Name)
 	}
 
 	return names
 }
 
-// compare plays one scene against each variant, with a fresh fleet.
+// compare plays one scenario against each variant, with a fresh fleet.
 func (r *runCommand) compare(ctx context.Context, binary, name string) error {
-	scene, err := proof.FindScene(slices.Concat(proof.Scenes(), proof.Faults()), name)
+	scenario, err := procs.FindScenario(slices.Concat(procs.Scenarios(), procs.Faults()), name)
 	if err != nil {
 		return err
 	}
 	var reports []*load.Report
 	for _, variant := range r.Variants {
-		report, err := r.play(ctx, binary, scene, variant)
+		report, err := r.play(ctx, binary, scenario, variant)
 		if err != nil {
-			return errors.Wrapf(err, "scene %s, variant %s", name, variant)
+			return errors.Wrapf(err, "scenario %s, variant %s", name, variant)
 		}
 		reports = append(reports, report)
 		if err = report.WriteTable(os.Stdout); err != nil {
@@ -100,22 +100,22 @@
 	return r.write(name, reports)
 }
 
-func (r *runCommand) play(ctx context.Context, binary string, scene proof.Scene, variant string) (*load.Report, error) {
+func (r *runCommand) play(ctx context.Context, binary string, scenario procs.Scenario, variant string) (*load.Report, error) {
 	example, err := load.FindExample(r.Example)
 	if err != nil {
 		return nil, err
 	}
 	example.Scale = r.Scale
-	directory := filepath.Join(r.Out, "logs", scene.Name+"-"+variant)
+	directory := filepath.Join(r.Out, "logs", scenario.Name+"-"+variant)
 	if err = os.RemoveAll(directory); err != nil {
 		return nil, errors.Wrap(err, "remove old logs")
 	}
 	if err = os.MkdirAll(directory, directoryMode); err != nil {
 		return nil, errors.Wrap(err, "make log directory")
 	}
-	fleet, clean, err := proof.Start(ctx, proof.Options{
+	fleet, clean, err := procs.Start(ctx, procs.Options{
 		Example: example, Seed: r.Seed, Binary: binary, Directory: directory, Policy: variant,
-		Linked: scene.Linked,
+		Linked: scenario.Linked,
 		Tree:   filepath.Join("examples", r.Example, "tree.toml"),
 	})
 	if err != nil {
@@ -123,7 +123,7 @@
 	}
 	defer clean()
 
-	return fleet.Play(ctx, scene, proof.Timing{Before: r.Before, During: r.During, After: r.After}, nil)
+	return fleet.Play(ctx, scenario, procs.Timing{Before: r.Before, During: r.During, After: r.After}, nil)
 }
 
 func (r *runCommand) write(name string, reports []*load.Report) error {
--- a/tools/slope/fleet.go
+++ b/tools/slope/fleet.go
@@ -18,7 +18,7 @@
 	"github.com/pistachiotack/pistachiotack/internal/gossip"
 	"github.com/pistachiotack/pistachiotack/internal/holder"
 	"github.com/pistachiotack/pistachiotack/internal/plat"
-	"github.com/pistachiotack/pistachiotack/internal/proof"
+	"github.com/pistachiotack/pistachiotack/internal/procs"
 	"github.com/pistachiotack/pistachiotack/pkg/config"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
 )
@@ -47,7 +47,7 @@
 // fleet is a number of real nodes without backend servers.
 type fleet struct {
 	options  options
-	nodes    []*proof.Process
+	nodes    []*procs.Process
 	platform *plat.Platform
 	random   *rand.Rand
 }
@@ -82,7 +82,7 @@
 		return errors.Wrap(err, "write tree")
 	}
 	for i := range f.options.size {
-		node, err := proof.StartProcess(ctx, f.options.binary, directory, f.settings(i, treeFile))
+		node, err := procs.StartProcess(ctx, f.options.binary, directory, f.settings(i, treeFile))
 		if err != nil {
 			return err
 		}
@@ -139,7 +139,7 @@
 	return count
 }
 
-func (f *fleet) status(ctx context.Context, node *proof.Process) (gossip.Status, error) {
+func (f *fleet) status(ctx context.Context, node *procs.Process) (gossip.Status, error) {
 	var status gossip.Status
 
 	return status, ask(ctx, http.MethodGet, node.Settings().Listen.Operators, gossip.PathStatus, nil, &status)
--- a/tools/slope/main.go
+++ b/tools/slope/main.go
@@ -12,7 +12,7 @@
 	"github.com/alecthomas/kong"
 	"github.com/cockroachdb/errors"
 
-	"github.com/pistachiotack/pistachiotack/internal/proof"
+	"github.com/pistachiotack/pistachiotack/internal/procs"
 )
 
 // command is the command line.
@@ -40,7 +40,7 @@
 		return errors.Wrap(err, "make directory")
 	}
 	defer func() { _ = os.RemoveAll(directory) }()
-	binary, err := proof.Build(ctx, directory)
+	binary, err := procs.Build(ctx, directory)
 	if err != nil {
 		return err
 	}
--- a/tools/slope/measure.go
+++ b/tools/slope/measure.go
@@ -7,7 +7,7 @@
 	"slices"
 	"time"
 
-	"github.com/pistachiotack/pistachiotack/internal/proof"
+	"github.com/pistachiotack/pistachiotack/internal/procs"
 )
 
 // phase is what an average node used over some time.
@@ -39,7 +39,7 @@
 
 // sample is the state of one node's counters; the process tells a restarted node apart.
 type sample struct {
-	usage       proof.Usage
+	usage       procs.Usage
 	sent, got   int64
 	dials       int64
 	incarnation uint64
