Use more of the binding service: nine tenths of its slots, a higher goal, a faster sensor

Cause: the level was steered to a load of 0.85, so a seventh of the smallest service's room stayed empty in a surge, and the load was smoothed over 150 ms where each call tree already answers half a second late. Change: the guard runs at most 0.9 of the slots at once (some servers turn slow when nearly full), the goal is 0.9, the load is followed within 30 ms, the level falls at 0.15 and its proportional part is 0.4.

--- a/internal/guard/speak.go
+++ b/internal/guard/speak.go
@@ -14,6 +14,8 @@
 	queueWait = 250 * time.Millisecond
 	// leastTime is the time that must be left for a call to be worth running.
 	leastTime = 5 * time.Millisecond
+	// runningShare is the share of the slots that is used at once, as some servers turn slow when they are nearly full.
+	runningShare = 0.9
 	// queueShare is the length of the queue as a share of the slots.
 	queueShare = 2.0
 	// dialTimeout bounds a new connection to the backend server, which is on the same VM.
@@ -66,6 +68,7 @@
 func limits(slots int) queue.Limits {
 	return queue.Limits{
 		Slots:   slots,
+		Running: min(max(int(runningShare*float64(slots)), 1), slots),
 		Waiting: max(int(queueShare*float64(slots)), 1),
 		Wait:    queueWait,
 		Least:   leastTime,
--- a/pkg/queue/queue.go
+++ b/pkg/queue/queue.go
@@ -31,8 +31,10 @@
 
 // Limits bound the queue.
 type Limits struct {
-	// Slots is the number of calls that run at once.
+	// Slots is the number of calls that the server can run at once.
 	Slots int
+	// Running is the number of calls that do run at once, at most the slots.
+	Running int
 	// Waiting is the number of calls that wait at most.
 	Waiting int
 	// Wait is the longest time that a call waits.
@@ -79,7 +81,7 @@
 	switch {
 	case item.Expires.Sub(now) < q.limits.Least:
 		t.decided <- call.ReasonHopeless
-	case q.running < q.limits.Slots && len(q.waiting) == 0:
+	case q.running < q.limits.Running && len(q.waiting) == 0:
 		q.start(t)
 	default:
 		q.enqueue(t)
@@ -154,7 +156,7 @@
 
 		return true
 	})
-	for q.running < q.limits.Slots && len(q.waiting) > 0 {
+	for q.running < q.limits.Running && len(q.waiting) > 0 {
 		next := q.waiting[0]
 		q.waiting = slices.Delete(q.waiting, 0, 1)
 		q.start(next)
--- a/pkg/queue/queue_test.go
+++ b/pkg/queue/queue_test.go
@@ -20,7 +20,7 @@
 	os.Exit(m.Run())
 }
 
-var limits = queue.Limits{Slots: 2, Waiting: 2, Wait: 250 * time.Millisecond, Least: 5 * time.Millisecond}
+var limits = queue.Limits{Slots: 4, Running: 2, Waiting: 2, Wait: 250 * time.Millisecond, Least: 5 * time.Millisecond}
 
 // decided returns the decision on a ticket, empty while it waits.
 func decided(t *queue.Ticket) call.Reason {
@@ -58,11 +58,11 @@
 		"waits too long":             {func(q *queue.Queue) { q.Tick(now.Add(300 * time.Millisecond)) }, time.Second, call.ReasonQueueTimeout},
 		"no time left when it waits": {func(q *queue.Queue) { q.Tick(now.Add(98 * time.Millisecond)) }, 100 * time.Millisecond, call.ReasonHopeless},
 		"server leaves":              {func(q *queue.Queue) { q.Drop(call.ReasonDraining) }, time.Second, call.ReasonDraining},
-		"more slots":                 {func(q *queue.Queue) { more := limits; more.Slots = 3; q.SetLimits(now, more) }, time.Second, call.ReasonOK},
+		"more may run":               {func(q *queue.Queue) { more := limits; more.Running = 3; q.SetLimits(now, more) }, time.Second, call.ReasonOK},
 	} {
 		t.Run(name, func(t *testing.T) {
 			q := queue.New(limits)
-			for range limits.Slots {
+			for range limits.Running {
 				q.Offer(now, queue.Item{Expires: now.Add(time.Second)})
 			}
 			ticket := q.Offer(now, queue.Item{Expires: now.Add(test.left)})
@@ -72,7 +72,7 @@
 	}
 }
 
-// Each ticket is decided at most once, no more calls run than there are slots, and none waits beside a free slot.
+// Each ticket is decided at most once, no more calls run than may, and none waits while another may run.
 func TestQueueKeepsItsBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Now()
@@ -110,9 +110,9 @@
 			settle()
 			load := q.Load()
 			require.Equal(t, running, load.Running)
-			require.LessOrEqual(t, load.Running, limits.Slots)
+			require.LessOrEqual(t, load.Running, limits.Running)
 			require.LessOrEqual(t, load.Waiting, limits.Waiting)
-			require.False(t, load.Waiting > 0 && load.Running < limits.Slots)
+			require.False(t, load.Waiting > 0 && load.Running < limits.Running)
 			require.Len(t, waiting, load.Waiting)
 		}
 	})
--- a/pkg/shed/level.go
+++ b/pkg/shed/level.go
@@ -19,14 +19,14 @@
 
 const (
 	// loadGoal is the share of the slots that is kept busy under overload; waiting calls count on top of the slots.
-	loadGoal = 0.85
+	loadGoal = 0.9
 	// loadMemory is the time constant of the smoothed load.
-	loadMemory = 150 * time.Millisecond
+	loadMemory = 30 * time.Millisecond
 	// fallRate and riseRate are how fast the level follows, per second and unit of load off the goal.
-	fallRate = 0.3
+	fallRate = 0.15
 	riseRate = 0.5
 	// proportion is how far the level is lowered at once per unit of load above the goal.
-	proportion = 0.6
+	proportion = 0.4
 	// errorMost bounds the load error that the level follows, as call trees that were admitted before keep the load up for a
 	// second or two.
 	errorMost = 0.6
