--- a/pkg/beat/beat_test.go
+++ b/pkg/beat/beat_test.go
@@ -104,8 +104,8 @@
 	require.Equal(t, beat.StateLost, server.State())
 }
 
-// A node that was started anew may hear a goodbye before any heartbeat; a late heartbeat must not bring the server back.
-func TestAGoodbyeBeforeAnyHeartbeatIsRemembered(t *testing.T) {
+// A node that was started anew may receive a deregistration before any heartbeat; a late heartbeat must not bring the server back.
+func TestADeregistrationBeforeAnyHeartbeatIsRemembered(t *testing.T) {
 	now := time.Now()
 	server := beat.NewServer(options)
 	require.False(t, server.Leave(now, "i-1"))
@@ -149,8 +149,8 @@
 			leaving.Draining = true
 			s.Hear(now, leaving)
 		},
-		"goodbye":               func(s *beat.Server) { s.Hear(now, report("i-1", 100, 8)); s.Leave(now, "i-1") },
-		"goodbye of an unknown": func(s *beat.Server) { s.Leave(now, "i-1") },
+		"deregistration":               func(s *beat.Server) { s.Hear(now, report("i-1", 100, 8)); s.Leave(now, "i-1") },
+		"deregistration of an unknown": func(s *beat.Server) { s.Leave(now, "i-1") },
 	} {
 		t.Run(name, func(t *testing.T) {
 			before := beat.NewServer(options)
--- a/pkg/beat/past.go
+++ b/pkg/beat/past.go
@@ -14,7 +14,7 @@
 // process answers now. What was heard since the restart goes first.
 func (s *Server) Resume(now time.Time, past Past, alive bool) bool {
 	if past.Left {
-		s.noteGoodbye(past.Report.ID, past.At)
+		s.noteDeregistration(past.Report.ID, past.At)
 
 		return false
 	}
@@ -28,16 +28,16 @@
 // Past returns what the node must still know after a restart, false if nothing.
 func (s *Server) Past(now time.Time) (Past, bool) {
 	if s.state == StateAbsent {
-		return s.lastGoodbye()
+		return s.lastDeregistration()
 	}
 
 	return Past{Report: s.report, Left: s.state == StateDraining, At: now}, true
 }
 
-// lastGoodbye returns the latest goodbye of a server that was not heard of before.
-func (s *Server) lastGoodbye() (Past, bool) {
+// lastDeregistration returns the latest deregistration of a server that was not heard of before.
+func (s *Server) lastDeregistration() (Past, bool) {
 	var last Past
-	for id, at := range s.goodbyes {
+	for id, at := range s.deregistrations {
 		if last.Report.ID == "" || at.After(last.At) {
 			last = Past{Report: Report{ID: id}, Left: true, At: at}
 		}
@@ -46,10 +46,10 @@
 	return last, last.Report.ID != ""
 }
 
-// noteGoodbye remembers the goodbye of a server of which nothing else is known.
-func (s *Server) noteGoodbye(id string, at time.Time) {
-	if len(s.goodbyes) >= leftMost {
-		clear(s.goodbyes)
+// noteDeregistration remembers the deregistration of a server of which nothing else is known.
+func (s *Server) noteDeregistration(id string, at time.Time) {
+	if len(s.deregistrations) >= leftMost {
+		clear(s.deregistrations)
 	}
-	s.goodbyes[id] = at
+	s.deregistrations[id] = at
 }
--- a/pkg/beat/server.go
+++ b/pkg/beat/server.go
@@ -25,8 +25,8 @@
 	heard   time.Time
 	// left are the processes that are known to have ended, none of which may come back.
 	left map[process]bool
-	// goodbyes holds when a server said that it leaves of which nothing was known.
-	goodbyes map[string]time.Time
+	// deregistrations holds when servers deregistered of which nothing was known.
+	deregistrations map[string]time.Time
 }
 
 // process identifies one run of a backend server.
@@ -44,7 +44,7 @@
 
 // NewServer returns a server of which nothing is known.
 func NewServer(options Options) *Server {
-	return &Server{options: options, state: StateAbsent, left: map[process]bool{}, goodbyes: map[string]time.Time{}}
+	return &Server{options: options, state: StateAbsent, left: map[process]bool{}, deregistrations: map[string]time.Time{}}
 }
 
 // State returns the stage of the server.
@@ -62,7 +62,7 @@
 	if r.Service != s.options.Service || r.Address != s.options.Address {
 		return VerdictForeign
 	}
-	if s.left[processOf(r)] || s.saidGoodbye(r) {
+	if s.left[processOf(r)] || s.hasDeregistered(r) {
 		return VerdictFormer
 	}
 	if s.state == StateAbsent || processOf(r) != processOf(s.report) {
@@ -111,9 +111,9 @@
 	s.left[processOf(r)] = true
 }
 
-// saidGoodbye reports whether a process had left before its first heartbeat was heard; one that started since has not.
-func (s *Server) saidGoodbye(r Report) bool {
-	at, left := s.goodbyes[r.ID]
+// hasDeregistered reports whether a process had left before its first heartbeat was heard; one that started since has not.
+func (s *Server) hasDeregistered(r Report) bool {
+	at, left := s.deregistrations[r.ID]
 
 	return left && !r.Born.After(at)
 }
@@ -121,7 +121,7 @@
 // Leave takes the word of a server that it has left, and reports whether it was the one beside the node.
 func (s *Server) Leave(now time.Time, id string) bool {
 	if s.state == StateAbsent || s.report.ID != id {
-		s.noteGoodbye(id, now)
+		s.noteDeregistration(id, now)
 
 		return false
 	}
--- a/pkg/member/tick.go
+++ b/pkg/member/tick.go
@@ -122,25 +122,25 @@
 	})
 }
 
-// youth is how long a new node compares digests in each round, as many may have started with it and know as little.
-const youth = 2 * time.Second
+// joinTime is how long a new node compares digests in each round, as many may have started with it and know as little.
+const joinTime = 2 * time.Second
 
-func (f *Fleet) young(now time.Time) bool {
-	return now.Sub(f.start) < youth
+func (f *Fleet) joining(now time.Time) bool {
+	return now.Sub(f.start) < joinTime
 }
 
 func (f *Fleet) syncPeriod(now time.Time) time.Duration {
-	if f.young(now) {
+	if f.joining(now) {
 		return f.options.Gossip
 	}
 
 	return f.jitter(f.options.Sync)
 }
 
-// syncNear compares digests with one node of the same data centre, of any while the node is young.
+// syncNear compares digests with one node of the same data centre, of any while the node is joining.
 func (f *Fleet) syncNear(now time.Time) []Action {
 	near := f.pick(func(e *Entry) bool { return callable(e) && e.DataCentre == f.self.DataCentre })
-	if near == nil || f.young(now) {
+	if near == nil || f.joining(now) {
 		near = f.pick(callable)
 	}
 	if near == nil {
