Keep the storage of shared state machines in one place

Change: pkg/states holds them; the three keep their states and events. pkg/trial stays: its guards need the whole proposal.

--- a/pkg/beat/state.go
+++ b/pkg/beat/state.go
@@ -1,11 +1,6 @@
 package beat
 
-import (
-	"context"
-
-	"github.com/cockroachdb/errors"
-	"github.com/qmuntal/stateless"
-)
+import "github.com/pistachiotack/pistachiotack/pkg/states"
 
 // State is a stage in the life of a backend server as its node knows it.
 type State string
@@ -31,13 +26,11 @@
 	eventBegin event = "begin"
 )
 
-type stateKey struct{}
-
-// machine is shared, with the state kept outside.
-var machine = newMachine()
+// life is shared by all servers.
+var life = newLife()
 
-func newMachine() *stateless.StateMachine {
-	m := stateless.NewStateMachineWithExternalStorage(load, save, stateless.FiringImmediate)
+func newLife() states.Machine[State] {
+	m := states.New[State]()
 	m.Configure(StateAbsent).
 		Permit(eventBeat, StateReady).
 		Permit(eventBegin, StateReady).
@@ -62,31 +55,10 @@
 	return m
 }
 
-func load(ctx context.Context) (stateless.State, error) {
-	state, ok := ctx.Value(stateKey{}).(*State)
-	if !ok {
-		return nil, errors.New("no state in context")
-	}
-
-	return *state, nil
-}
-
-func save(ctx context.Context, next stateless.State) error {
-	state, ok := ctx.Value(stateKey{}).(*State)
-	if !ok {
-		return errors.New("no state in context")
-	}
-	if *state, ok = next.(State); !ok {
-		return errors.Newf("state %v has another type", next)
-	}
-
-	return nil
-}
-
 // follow returns the state after an event; every event is configured for every state.
 func follow(from State, happened event) State {
-	state := from
-	if err := machine.FireCtx(context.WithValue(context.Background(), stateKey{}, &state), happened); err != nil {
+	state, err := life.Fire(from, happened)
+	if err != nil {
 		return from
 	}
 
--- a/pkg/fence/state.go
+++ b/pkg/fence/state.go
@@ -1,11 +1,6 @@
 package fence
 
-import (
-	"context"
-
-	"github.com/cockroachdb/errors"
-	"github.com/qmuntal/stateless"
-)
+import "github.com/pistachiotack/pistachiotack/pkg/states"
 
 // State is one stage in the life of an attempt.
 type State uint8
@@ -47,13 +42,11 @@
 	eventFence
 )
 
-type storageKey struct{}
-
-// machine is shared by all attempts; the state lives in the record that the context names.
-var machine = newMachine()
+// life is shared by all attempts.
+var life = newLife()
 
-func newMachine() *stateless.StateMachine {
-	m := stateless.NewStateMachineWithExternalStorage(loadState, saveState, stateless.FiringImmediate)
+func newLife() states.Machine[State] {
+	m := states.New[State]()
 	m.Configure(StateUnseen).
 		Permit(eventArrive, StateQueued).
 		Permit(eventFence, StateFenced)
@@ -70,29 +63,10 @@
 	return m
 }
 
-func loadState(ctx context.Context) (stateless.State, error) {
-	return *storage(ctx), nil
-}
-
-func saveState(ctx context.Context, state stateless.State) error {
-	next, ok := state.(State)
-	if !ok {
-		return errors.Newf("save attempt state: unexpected type %T", state)
-	}
-	*storage(ctx) = next
-
-	return nil
-}
-
-func storage(ctx context.Context) *State {
-	state, _ := ctx.Value(storageKey{}).(*State)
-
-	return state
-}
-
 // fire moves the state, or reports false where the event is not permitted.
 func (s *State) fire(e event) bool {
-	ctx := context.WithValue(context.Background(), storageKey{}, s)
+	next, err := life.Fire(*s, e)
+	*s = next
 
-	return machine.FireCtx(ctx, e) == nil
+	return err == nil
 }
--- a/pkg/member/life.go
+++ b/pkg/member/life.go
@@ -1,10 +1,9 @@
 package member
 
 import (
-	"context"
-
 	"github.com/cockroachdb/errors"
-	"github.com/qmuntal/stateless"
+
+	"github.com/pistachiotack/pistachiotack/pkg/states"
 )
 
 // ErrTransition is returned for a change of state that a node's life does not allow.
@@ -22,14 +21,11 @@
 	triggerCondemn trigger = "condemn"
 )
 
-// stateKey is the context key under which the shared machine finds the state it works on.
-type stateKey struct{}
-
-// life is shared by all entries, because building a machine costs more than a transition.
+// life is shared by all entries.
 var life = newLife()
 
-func newLife() *stateless.StateMachine {
-	machine := stateless.NewStateMachineWithExternalStorage(loadState, storeState, stateless.FiringImmediate)
+func newLife() states.Machine[State] {
+	machine := states.New[State]()
 	machine.Configure(StateStarting).
 		Permit(triggerWarm, StateWarming).
 		Permit(triggerServe, StateServing).
@@ -56,34 +52,10 @@
 	return machine
 }
 
-func loadState(ctx context.Context) (stateless.State, error) {
-	state, ok := ctx.Value(stateKey{}).(*State)
-	if !ok {
-		return nil, errors.New("no state in context")
-	}
-
-	return *state, nil
-}
-
-func storeState(ctx context.Context, next stateless.State) error {
-	state, ok := ctx.Value(stateKey{}).(*State)
-	if !ok {
-		return errors.New("no state in context")
-	}
-	typed, ok := next.(State)
-	if !ok {
-		return errors.Newf("state %v has another type", next)
-	}
-	*state = typed
-
-	return nil
-}
-
 // fire returns the state that follows, or an error that wraps ErrTransition.
 func fire(from State, event trigger) (State, error) {
-	state := from
-	ctx := context.WithValue(context.Background(), stateKey{}, &state)
-	if err := life.FireCtx(ctx, event); err != nil {
+	state, err := life.Fire(from, event)
+	if err != nil {
 		return from, errors.Wrapf(ErrTransition, "%s from state %s", event, from)
 	}
 
