Look services up, and judge failed attempts, in one place each

Change: kernel.FindAll with Into; relay.Judge, which like both trusts only an attempt without a connection to be not run. Result: behaviour as before; new tests of both, and those of the packages, pass.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -145,30 +145,20 @@
 }
 
 func (e *Entry) find(k *kernel.Kernel) error {
-	var err error
-	if e.settings, err = kernel.Find[Settings](k, "holder"); err != nil {
-		return err
-	}
-	if e.members, err = kernel.Find[Members](k, "gossip"); err != nil {
-		return err
-	}
-	if e.parents, err = kernel.Find[Parents](k, "exec"); err != nil {
-		return err
-	}
-	if e.tracer, err = kernel.Find[Tracer](k, trace.Name); err != nil {
-		return err
-	}
-	if e.control, err = kernel.Find[Caller](k, "control"); err != nil {
-		return err
-	}
-	if e.table, err = kernel.Find[claim.Table](k, store.Name); err != nil {
-		return err
-	}
-	e.canceller = newCanceller(e.control)
-	metrics, err := kernel.Find[*meter.Meter](k, meter.Name)
+	var metrics *meter.Meter
+	err := kernel.FindAll(k,
+		kernel.Into("holder", &e.settings),
+		kernel.Into("gossip", &e.members),
+		kernel.Into("exec", &e.parents),
+		kernel.Into(trace.Name, &e.tracer),
+		kernel.Into("control", &e.control),
+		kernel.Into(store.Name, &e.table),
+		kernel.Into(meter.Name, &metrics),
+	)
 	if err != nil {
 		return err
 	}
+	e.canceller = newCanceller(e.control)
 	e.metrics = metrics.Scope().SubScope(Name)
 
 	return nil
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -155,29 +155,20 @@
 }
 
 func (f *Front) find(k *kernel.Kernel) error {
-	var err error
-	if f.rules, err = kernel.Find[Rules](k, "holder"); err != nil {
-		return err
-	}
-	if f.members, err = kernel.Find[Members](k, "gossip"); err != nil {
-		return err
-	}
-	if f.demand, err = kernel.Find[Demand](k, "demand"); err != nil {
-		return err
-	}
-	if f.runner, err = kernel.Find[Runner](k, "guard"); err != nil {
-		return err
-	}
-	if f.tracer, err = kernel.Find[Tracer](k, trace.Name); err != nil {
-		return err
-	}
-	metrics, err := kernel.Find[*meter.Meter](k, meter.Name)
-	if err != nil {
-		return err
+	var metrics *meter.Meter
+	err := kernel.FindAll(k,
+		kernel.Into("holder", &f.rules),
+		kernel.Into("gossip", &f.members),
+		kernel.Into("demand", &f.demand),
+		kernel.Into("guard", &f.runner),
+		kernel.Into(trace.Name, &f.tracer),
+		kernel.Into(meter.Name, &metrics),
+	)
+	if err == nil {
+		f.metrics = metrics.Scope().SubScope(Name)
 	}
-	f.metrics = metrics.Scope().SubScope(Name)
 
-	return nil
+	return err
 }
 
 // Stop closes the listener and the connections to other nodes.
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -5,8 +5,6 @@
 	"strconv"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/pistachiotack/pistachiotack/internal/relay"
 	"github.com/pistachiotack/pistachiotack/internal/trace"
 	"github.com/pistachiotack/pistachiotack/internal/wire"
@@ -124,7 +122,9 @@
 	wire.SetHop(&out.Header, hop)
 	err := r.front.client.Do(c, chosen.Peers, out, answer, relay.Limits{Body: maxAnswer, Dial: peerDial})
 	if err != nil {
-		return faulty(err), false
+		outcome, reason := relay.Judge(err)
+
+		return wire.Report{Outcome: outcome, Reason: reason}, false
 	}
 	report, known = wire.ParseReport(&answer.Response.Header)
 	if !known {
@@ -148,20 +148,6 @@
 	}
 }
 
-// faulty reports an attempt without an answer of the node; only one that never had a connection is certain not to have run.
-func faulty(err error) wire.Report {
-	var fault *relay.Fault
-	if !errors.As(err, &fault) {
-		return wire.Report{Outcome: call.OutcomeUnknown, Reason: call.ReasonBroken}
-	}
-	report := wire.Report{Outcome: call.OutcomeUnknown, Reason: fault.Reason}
-	if fault.Stage == relay.StageDial {
-		report.Outcome = call.OutcomeNotRun
-	}
-
-	return report
-}
-
 // learn takes what an attempt tells of its node and of the fleet.
 func (r *request) learn(chosen member.Entry, report wire.Report, known bool, took time.Duration) {
 	now := time.Now()
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -132,26 +132,19 @@
 }
 
 func (g *Guard) find(k *kernel.Kernel) error {
-	var err error
-	if g.announcer, err = kernel.Find[Announcer](k, "gossip"); err != nil {
-		return err
-	}
-	if g.demand, err = kernel.Find[Demand](k, "demand"); err != nil {
-		return err
-	}
-	if g.holder, err = kernel.Find[Holder](k, "holder"); err != nil {
-		return err
-	}
-	if g.tracer, err = kernel.Find[Tracer](k, trace.Name); err != nil {
-		return err
-	}
-	metrics, err := kernel.Find[*meter.Meter](k, meter.Name)
-	if err != nil {
-		return err
+	var metrics *meter.Meter
+	err := kernel.FindAll(k,
+		kernel.Into("gossip", &g.announcer),
+		kernel.Into("demand", &g.demand),
+		kernel.Into("holder", &g.holder),
+		kernel.Into(trace.Name, &g.tracer),
+		kernel.Into(meter.Name, &metrics),
+	)
+	if err == nil {
+		g.metrics = metrics.Scope().SubScope(Name)
 	}
-	g.metrics = metrics.Scope().SubScope(Name)
 
-	return nil
+	return err
 }
 
 // Stop closes the listener and the connections to the backend server.
--- a/internal/guard/run.go
+++ b/internal/guard/run.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
-	"github.com/cockroachdb/errors"
 
 	"github.com/pistachiotack/pistachiotack/internal/relay"
 	"github.com/pistachiotack/pistachiotack/internal/trace"
@@ -182,25 +181,20 @@
 	return word.RequestID == "" || word.RequestID == x.id
 }
 
-// failed reports an attempt without a whole answer; only one that never had a connection is certain not to have run.
+// failed reports an attempt without a whole answer.
 func (x *execution) failed(err error) wire.Report {
-	var fault *relay.Fault
-	if !errors.As(err, &fault) {
-		return wire.Report{Outcome: call.OutcomeUnknown, Reason: call.ReasonBroken}
-	}
-	report := wire.Report{Outcome: call.OutcomeUnknown, Reason: fault.Reason}
-	if fault.Stage == relay.StageDial {
-		report.Outcome = call.OutcomeNotRun
-		x.unreached(fault)
+	outcome, reason := relay.Judge(err)
+	if outcome == call.OutcomeNotRun {
+		x.unreached(reason, err)
 	}
 
-	return report
+	return wire.Report{Outcome: outcome, Reason: reason}
 }
 
 // unreached notes a connection that could not be made.
-func (x *execution) unreached(fault *relay.Fault) {
+func (x *execution) unreached(reason call.Reason, err error) {
 	g := x.guard
-	if fault.Reason != call.ReasonConnect {
+	if reason != call.ReasonConnect {
 		return
 	}
 	g.mu.Lock()
@@ -208,7 +202,7 @@
 	g.dials++
 	if g.dials >= dialsMost && g.backend.State() == beat.StateReady {
 		g.backend.Lose()
-		g.options.Log.Warn("backend server lost", slog.String("process", g.backend.Report().String()), slog.String("reason", fault.Error()))
+		g.options.Log.Warn("backend server lost", slog.String("process", g.backend.Report().String()), slog.String("reason", err.Error()))
 		g.follow(time.Now())
 	}
 }
--- a/internal/kernel/kernel.go
+++ b/internal/kernel/kernel.go
@@ -73,6 +73,32 @@
 	return typed, nil
 }
 
+// Wanted finds one service and keeps it.
+type Wanted func(k *Kernel) error
+
+// Into wants the service of that name as a T, kept in the variable.
+func Into[T any](name string, into *T) Wanted {
+	return func(k *Kernel) error {
+		found, err := Find[T](k, name)
+		if err == nil {
+			*into = found
+		}
+
+		return err
+	}
+}
+
+// FindAll finds all that is wanted, and returns the first ErrNotFound or ErrWrongType.
+func FindAll(k *Kernel, wanted ...Wanted) error {
+	for _, find := range wanted {
+		if err := find(k); err != nil {
+			return err
+		}
+	}
+
+	return nil
+}
+
 // Started is a process whose services run.
 type Started struct {
 	kernel  *Kernel
--- a/internal/kernel/kernel_test.go
+++ b/internal/kernel/kernel_test.go
@@ -90,3 +90,12 @@
 	_, err = kernel.Find[interface{ Other() }](k, "a")
 	require.ErrorIs(t, err, kernel.ErrWrongType)
 }
+
+func TestFindAllKeepsWhatItFinds(t *testing.T) {
+	k, _ := newKernel(t, &part{name: "a"}, &part{name: "b"})
+	var first, second *part
+	require.NoError(t, kernel.FindAll(k, kernel.Into("a", &first), kernel.Into("b", &second)))
+	require.Equal(t, "a", first.String())
+	require.Equal(t, "b", second.String())
+	require.ErrorIs(t, kernel.FindAll(k, kernel.Into("a", &first), kernel.Into("z", &second)), kernel.ErrNotFound)
+}
--- a/internal/relay/client_test.go
+++ b/internal/relay/client_test.go
@@ -103,6 +103,25 @@
 	}
 }
 
+func TestJudgeTrustsOnlyAttemptsWithoutAConnection(t *testing.T) {
+	for name, test := range map[string]struct {
+		err     error
+		outcome call.Outcome
+		reason  call.Reason
+	}{
+		"no connection":         {&relay.Fault{Stage: relay.StageDial, Reason: call.ReasonConnect}, call.OutcomeNotRun, call.ReasonConnect},
+		"broken while written":  {&relay.Fault{Stage: relay.StageWrite, Reason: call.ReasonBroken}, call.OutcomeUnknown, call.ReasonBroken},
+		"no answer":             {&relay.Fault{Stage: relay.StageWait, Reason: call.ReasonDeadline}, call.OutcomeUnknown, call.ReasonDeadline},
+		"not a fault of a call": {context.Canceled, call.OutcomeUnknown, call.ReasonBroken},
+	} {
+		t.Run(name, func(t *testing.T) {
+			outcome, reason := relay.Judge(test.err)
+			require.Equal(t, test.outcome, outcome)
+			require.Equal(t, test.reason, reason)
+		})
+	}
+}
+
 func TestRefusedConnectionIsNotRun(t *testing.T) {
 	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/internal/relay/fault.go
+++ b/internal/relay/fault.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/pistachiotack/pistachiotack/pkg/call"
 )
 
@@ -42,3 +44,17 @@
 
 	return call.OutcomeUnknown
 }
+
+// Judge returns what is certain of a failed attempt at an other end that may run a request before it has read it to its end: only
+// one that never had a connection was not run.
+func Judge(err error) (call.Outcome, call.Reason) {
+	var fault *Fault
+	if !errors.As(err, &fault) {
+		return call.OutcomeUnknown, call.ReasonBroken
+	}
+	if fault.Stage == StageDial {
+		return call.OutcomeNotRun, fault.Reason
+	}
+
+	return call.OutcomeUnknown, fault.Reason
+}
--- a/internal/resume/resume.go
+++ b/internal/resume/resume.go
@@ -91,17 +91,13 @@
 
 // Start begins to bring back what the table knows, and to keep it up to date.
 func (r *Resume) Start(ctx context.Context, k *kernel.Kernel) (<-chan error, error) {
-	var err error
-	if r.table, err = kernel.Find[Table](k, store.Name); err != nil {
-		return nil, err
-	}
-	if r.guard, err = kernel.Find[Guard](k, "guard"); err != nil {
-		return nil, err
-	}
-	if r.demand, err = kernel.Find[Demand](k, demand.Name); err != nil {
-		return nil, err
-	}
-	if r.holder, err = kernel.Find[Holder](k, "holder"); err != nil {
+	err := kernel.FindAll(k,
+		kernel.Into(store.Name, &r.table),
+		kernel.Into("guard", &r.guard),
+		kernel.Into(demand.Name, &r.demand),
+		kernel.Into("holder", &r.holder),
+	)
+	if err != nil {
 		return nil, err
 	}
 	ctx, r.cancel = context.WithCancel(ctx)
