--- a/internal/resume/resume.go
+++ b/internal/resume/resume.go
@@ -26,7 +26,7 @@
 	routesWait = time.Second
 	// routesInterval is the time between looks for the routes.
 	routesInterval = 10 * time.Millisecond
-	// retryPause is the time between writes that failed; a busy table must not be asked faster by many nodes.
+	// retryPause is the time between writes of a changed backend server that failed; a busy table must not be asked faster by many nodes.
 	retryPause = time.Second
 	// demandInterval is the mean time between looks at what is known of call trees.
 	demandInterval = 6 * time.Second
@@ -237,7 +237,7 @@
 	failed := false
 	for ctx.Err() == nil {
 		wait := demandInterval/2 + rand.N(demandInterval)
-		if failed {
+		if _, kept, _ := r.past(); !kept {
 			wait = retryPause
 		}
 		timer, demandDue := time.NewTimer(wait), false
--- a/internal/resume/resume_test.go
+++ b/internal/resume/resume_test.go
@@ -37,7 +37,9 @@
 	mu   sync.Mutex
 	rows map[string][]byte
 	away bool
-	puts int
+	// puts counts the rows that were written, calls all attempts to.
+	puts  int
+	calls int
 }
 
 func (s *table) setAway(away bool) {
@@ -53,9 +55,17 @@
 	return s.puts
 }
 
+func (s *table) asked() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.calls
+}
+
 func (s *table) Put(_ context.Context, key string, value []byte, _ string) (string, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.calls++
 	if s.away {
 		return "", errAway
 	}
@@ -146,7 +156,7 @@
 	}
 	k := kernel.New(slog.New(slog.DiscardHandler))
 	for _, s := range []kernel.Service{
-		rows, &holder{service{"holder"}, known.WithHealth(map[string]string{"logboek": "/status"})}, &memory{service{demand.Name}}, n.guard, n.resume,
+		rows, &holder{service{"holder"}, known.WithHealth(map[string]string{"logboek": "/status"})}, &memory{service: service{demand.Name}}, n.guard, n.resume,
 	} {
 		require.NoError(t, k.Register(s))
 	}
@@ -158,10 +168,17 @@
 	return n
 }
 
-// memory knows no call trees.
-type memory struct{ service }
+// memory knows of one service whose level is another one at each look.
+type memory struct {
+	service
+	level float64
+}
 
-func (*memory) Memory(time.Time) demand.Memory { return demand.Memory{} }
+func (m *memory) Memory(time.Time) demand.Memory {
+	m.level++
+
+	return demand.Memory{Levels: map[string]float64{"alarm": m.level}}
+}
 
 func (*memory) Resume(time.Time, demand.Memory, time.Time) {}
 
@@ -231,3 +248,16 @@
 	}
 	require.Equal(t, 1, rows.written())
 }
+
+// The load is a surge while the table turns nodes away: each call to it costs, and levels are kept again before long.
+func TestLevelsThatCannotBeKeptAreNotTriedAgainAtOnce(t *testing.T) {
+	rows := newTable()
+	n := start(t, rows, "i-1")
+	n.guard.hear(process("i-1", false))
+	n.resume.Keep(t.Context())
+	require.Eventually(t, func() bool { return rows.written() == 1 }, time.Second, time.Millisecond)
+	rows.setAway(true)
+	require.Eventually(t, func() bool { return rows.asked() == 2 }, 10*time.Second, 10*time.Millisecond, "the next look at levels")
+	time.Sleep(2500 * time.Millisecond)
+	require.Equal(t, 2, rows.asked())
+}
--- a/pkg/trial/judge.go
+++ b/pkg/trial/judge.go
@@ -25,7 +25,10 @@
 		return c
 	}
 
-	return Count{Offered: c.Offered - earlier.Offered, Good: c.Good - earlier.Good}
+	offered := c.Offered - earlier.Offered
+
+	// a request that ended while the earlier count was taken may be missing there among the good ones only
+	return Count{Offered: offered, Good: min(c.Good-earlier.Good, offered)}
 }
 
 // Share returns the part that was good, one if nothing was offered.
--- a/pkg/trial/trial_test.go
+++ b/pkg/trial/trial_test.go
@@ -123,5 +123,6 @@
 func TestCountSinceRestart(t *testing.T) {
 	require.Equal(t, count(4, 3), count(10, 8).Since(count(6, 5)))
 	require.Equal(t, count(2, 2), count(2, 2).Since(count(6, 5)))
+	require.Equal(t, count(2, 2), count(8, 8).Since(count(6, 5)), "never more good ones than there were")
 	require.InDelta(t, 1.0, count(0, 0).Share(), 0)
 }
