--- a/internal/cmds/side.go
+++ b/internal/cmds/side.go
@@ -3,7 +3,7 @@
 import (
 	"log/slog"
 
-	"github.com/pistachiotack/pistachiotack/platform"
+	adapt "github.com/pistachiotack/pistachiotack/platform"
 )
 
 // processors is the number of processors that a node on the users' platform uses.
@@ -18,7 +18,7 @@
 // Run starts the node; SIGTERM drains it first.
 func (c SidecarCommand) Run(env Env) error {
 	if c.Check {
-		_, err := platform.LoadSettings()
+		_, err := adapt.LoadSettings()
 
 		return err
 	}
@@ -27,7 +27,7 @@
 		return err
 	}
 	staySmall(processors, sidecarGCPercent)
-	if err := platform.Run(env.Context, log, env.Out); err != nil {
+	if err := adapt.Run(env.Context, log, env.Out); err != nil {
 		log.Error("node failed", slog.String("error", err.Error()))
 
 		return err
--- a/internal/procs/life_test.go
+++ b/internal/procs/life_test.go
@@ -31,37 +31,50 @@
 `
 )
 
-// leaving counts the requests of each backend server, one of which says that it is leaving.
-type leaving struct {
+// marked counts the requests of each backend server, one of which may be marked.
+type marked struct {
 	mu       sync.Mutex
 	arrivals map[string]int
 	address  string
 }
 
-func (s *leaving) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func newMarked() *marked {
+	return &marked{arrivals: map[string]int{}}
+}
+
+// arrive counts a request, and reports whether it came to the marked server.
+func (s *marked) arrive(r *http.Request) bool {
 	address, _ := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.arrivals[address.String()]++
-	if address.String() == s.address {
-		w.Header().Set(wire.HeaderDraining, "true")
-	}
-	_, _ = io.WriteString(w, "inspected")
+
+	return address.String() == s.address
 }
 
-func (s *leaving) leave(address string) {
+func (s *marked) mark(address string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.address = address
 }
 
-func (s *leaving) of(address string) int {
+func (s *marked) of(address string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
 	return s.arrivals[address]
 }
 
+// leaving says on the answers of the marked backend server that it is leaving.
+type leaving struct{ *marked }
+
+func (s leaving) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.arrive(r) {
+		w.Header().Set(wire.HeaderDraining, "true")
+	}
+	_, _ = io.WriteString(w, "inspected")
+}
+
 func (l *line) inspect(t *testing.T, entry *lineTarget) reply {
 	t.Helper()
 	got := l.call(t.Context(), entry, http.MethodGet, lifePath, wire.HeaderService, lifeService)
@@ -91,10 +104,10 @@
 
 // TestBackendServerThatSaysItLeavesGetsNoNewWork lets one of two backend servers tell so on its answers.
 func TestBackendServerThatSaysItLeavesGetsNoNewWork(t *testing.T) {
-	servers := &leaving{arrivals: map[string]int{}}
+	servers := leaving{newMarked()}
 	l := newLine(t, lineOptions{tree: lifeTree, services: []lineService{{name: lifeService, targets: 2, handler: servers}}})
 	leaver, stayer := l.targets[0].node.Settings(), l.targets[1]
-	servers.leave(leaver.Backend.Address)
+	servers.mark(leaver.Backend.Address)
 	require.Eventually(t, func() bool {
 		require.Equal(t, http.StatusOK, l.inspect(t, stayer).status)
 
--- a/internal/procs/stall_test.go
+++ b/internal/procs/stall_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
-	"sync"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -22,20 +20,11 @@
 retryRatio = 0.5
 `
 
-// silenced counts the requests of each backend server, one of which answers nothing.
-type silenced struct {
-	mu       sync.Mutex
-	arrivals map[string]int
-	address  string
-}
+// silenced leaves the requests of the marked backend server without an answer.
+type silenced struct{ *marked }
 
-func (s *silenced) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	address, _ := r.Context().Value(http.LocalAddrContextKey).(net.Addr)
-	s.mu.Lock()
-	s.arrivals[address.String()]++
-	silent := address.String() == s.address
-	s.mu.Unlock()
-	if silent {
+func (s silenced) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.arrive(r) {
 		<-r.Context().Done()
 
 		return
@@ -43,22 +32,9 @@
 	_, _ = io.WriteString(w, "inspected")
 }
 
-func (s *silenced) silence(address string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.address = address
-}
-
-func (s *silenced) of(address string) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	return s.arrivals[address]
-}
-
 // TestReadsLeaveABackendServerThatAnswersNothing silences one of two backend servers, whose nodes stay well.
 func TestReadsLeaveABackendServerThatAnswersNothing(t *testing.T) {
-	servers := &silenced{arrivals: map[string]int{}}
+	servers := silenced{newMarked()}
 	l := newLine(t, lineOptions{tree: stallTree, services: []lineService{{name: lifeService, targets: 2, handler: servers}}})
 	entry, quiet := l.targets[1], l.targets[0].node.Settings().Backend.Address
 	const known, more = 2, 1
@@ -68,7 +44,7 @@
 		return servers.of(quiet) >= known
 	}, linePatience, linePoll, "the server is known to answer")
 
-	servers.silence(quiet)
+	servers.mark(quiet)
 	before := servers.of(quiet)
 	require.Eventually(t, func() bool {
 		require.Equal(t, http.StatusOK, l.inspect(t, entry).status, "a read waits for a server that answers nothing")
