Decide when refused clients come back in pkg/shed, and log contacts that cannot be read

Cause: Retry-After was decided inside internal/front, where no test reached it without a network; a contact row that cannot be read was skipped without a line.

--- a/internal/front/handle.go
+++ b/internal/front/handle.go
@@ -36,11 +36,6 @@
 	noTimeout = time.Minute
 	// startAfter is when a client may come back to a node that knows no routes yet.
 	startAfter = 500 * time.Millisecond
-	// backShare is the part of its remaining time that a client may be told to wait.
-	backShare = 1.0 / 3
-	// backFirst and backLast are the parts of the time to spare within which refused clients are told to come back.
-	backFirst = 0.25
-	backLast  = 0.75
 	// rankCalls is the queue rank of the calls of backend servers; the requests of clients stand before or behind it.
 	rankCalls = 2
 )
@@ -137,20 +132,14 @@
 	return call.NewRefusal(call.OutcomeNotRun, decision.Reason).WithRetryAfter(r.comeBack())
 }
 
-// comeBack spreads the returns of refused clients over the time in which an answer still reaches them within the route's aim,
-// or within the time that they have if that is too short.
+// comeBack returns when a refused client may come back.
 func (r *request) comeBack() time.Duration {
-	most := time.Duration(backShare * float64(time.Until(r.leaves)))
-	if r.route == nil {
-		return max(most, 0)
-	}
-	spare := r.route.Aim - r.front.usualTime(r.route.Name) - time.Since(r.arrived)
-	if spare <= 0 || spare > most {
-		spare = most
+	back := shed.Return{Left: time.Until(r.leaves), Elapsed: time.Since(r.arrived), Draw: rand.Float64()}
+	if r.route != nil {
+		back.Aim, back.Usual = r.route.Aim, r.front.usualTime(r.route.Name)
 	}
-	part := backFirst + (backLast-backFirst)*rand.Float64()
 
-	return max(time.Duration(part*float64(spare)), 0)
+	return back.After()
 }
 
 // rank orders the request in the queue of an executing node: calls of running work go before the least important requests.
--- a/internal/gossip/contact.go
+++ b/internal/gossip/contact.go
@@ -69,6 +69,8 @@
 	for _, row := range rows {
 		var found contact
 		if err := json.Unmarshal(row.Value, &found); err != nil {
+			g.options.Log.LogAttrs(ctx, slog.LevelWarn, "contact not read", slog.String("key", row.Key), slog.String("error", err.Error()))
+
 			continue
 		}
 		if found == own {
