--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -171,12 +171,24 @@
 		timeout = a.limits.Dial
 	}
 	if a.conn, err = dialConn(ctx, a.pool.address, min(timeout, a.deadline.Sub(now))); err != nil {
-		return &Fault{Stage: StageDial, Reason: call.ReasonConnect, Cause: err}
+		return &Fault{Stage: StageDial, Reason: a.dialReason(ctx), Cause: err}
 	}
 
 	return nil
 }
 
+// dialReason tells an address that took no connection from an attempt that ended before it could.
+func (a *attempt) dialReason(ctx context.Context) call.Reason {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		return call.ReasonCancelled
+	case ctx.Err() != nil || !time.Now().Before(a.deadline):
+		return call.ReasonDeadline
+	default:
+		return call.ReasonConnect
+	}
+}
+
 // run sends the request and reads the answer; a cancelled context closes the attempt's own connection.
 func (a *attempt) run(ctx context.Context, request *protocol.Request) error {
 	if request.Header.IsHead() {
