Rank light requests near the more important ones, and explore routes that are refused for long

Change: the rank of a request of few calls comes nearer to the next more important ones, never ahead, the least important excepted (pkg/shed); a node admits one request of a refused route every two seconds to learn its call trees anew (internal/demand).

--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -22,6 +22,9 @@
 	learnInterval = 250 * time.Millisecond
 	// pressedMost is the number of services without room that a report names beside those that a route needs.
 	pressedMost = 2
+	// exploreInterval is how long a route may be refused by what was told of its call trees before. A belief that refuses all of a
+	// route's requests would bring no answers that could correct it.
+	exploreInterval = 2 * time.Second
 	// faultMemory is how long a failed call of the backend server may explain a failed answer of its own.
 	faultMemory = time.Second
 )
@@ -49,6 +52,11 @@
 	origins  map[string]fanout.Origin
 	callees  map[string]string
 	failedAt time.Time
+	// heaviest holds the most calls to each service that a known call tree makes.
+	heaviest map[string]float64
+	// told holds for each route when its call trees were last told of or asked for.
+	told  map[string]time.Time
+	began time.Time
 }
 
 // New returns the service for a node beside a backend server of the service.
@@ -64,6 +72,8 @@
 		callers: map[string]*fanout.Callers{},
 		origins: map[string]fanout.Origin{},
 		callees: map[string]string{},
+		told:    map[string]time.Time{},
+		began:   time.Now(),
 	}
 }
 
@@ -122,6 +132,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.learner.Close()
+	d.heaviest = d.trees.Heaviest()
 }
 
 // Executed counts a call that runs on the own backend server and returns where the calls on its route come from.
@@ -173,6 +184,7 @@
 	}
 	if report.Learned {
 		d.trees.Learn(key, report.Needs)
+		d.told[key] = now
 	}
 }
 
@@ -191,20 +203,43 @@
 	return now.Sub(d.failedAt) < faultMemory
 }
 
-// Decide says whether the call tree of a request has room; one of which nothing is known counts as needing every service.
+// Decide says whether the call tree of a request has room; one of which nothing is known counts as needing every service. Of a route
+// that is refused for long, a request is admitted now and then to learn its call trees anew.
 func (d *Demand) Decide(now time.Time, route, service string, demand shed.Demand) shed.Decision {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	demand.Services = append(demand.Services, service)
-	if d.trees.Knows(wire.RouteKey(route, service)) {
-		for _, need := range d.trees.Needs(wire.RouteKey(route, service)) {
-			demand.Services = append(demand.Services, need.Service)
+	key := wire.RouteKey(route, service)
+	if d.trees.Knows(key) {
+		for needed, calls := range d.calls(route, service) {
+			demand.Needs = append(demand.Needs, shed.Need{Service: needed, Weight: calls / max(calls, d.heaviest[needed])})
 		}
 	} else {
-		demand.Services = append(demand.Services, d.board.Services()...)
+		demand.Needs = append(demand.Needs, shed.Need{Service: service, Weight: 1})
+		for _, needed := range d.board.Services() {
+			demand.Needs = append(demand.Needs, shed.Need{Service: needed, Weight: 1})
+		}
+	}
+
+	decision := d.board.Decide(now, demand)
+	if !decision.Admitted && d.explores(now, key) {
+		decision.Admitted, decision.Explores = true, true
+	}
+
+	return decision
+}
+
+// explores reports whether a refused request is admitted to learn its route's call trees anew; the caller holds the lock.
+func (d *Demand) explores(now time.Time, key string) bool {
+	told, known := d.told[key]
+	if !known {
+		told = d.began
+	}
+	if now.Sub(told) < exploreInterval {
+		return false
 	}
+	d.told[key] = now
 
-	return d.board.Decide(now, demand)
+	return true
 }
 
 // calls returns the calls to each service that an execution on the route makes, its own included; the caller holds the lock.
--- a/internal/demand/memory.go
+++ b/internal/demand/memory.go
@@ -66,6 +66,7 @@
 	for route, needs := range memory.Needs {
 		if !d.trees.Knows(route) {
 			d.trees.Learn(route, needs)
+			d.told[route] = now
 		}
 	}
 	for route, origin := range memory.Origins {
--- a/internal/demand/memory_test.go
+++ b/internal/demand/memory_test.go
@@ -82,3 +82,40 @@
 	require.False(t, moved.Memory(now.Add(time.Second)).Near(memory))
 	require.False(t, demand.New("logboek").Memory(now).Near(memory))
 }
+
+// A belief that refuses all of a route's requests is corrected by those that are admitted now and then.
+func TestAWrongBeliefAboutARouteIsCorrected(t *testing.T) {
+	now := time.Now()
+	d := learned(now)
+	admitted := 0
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		d.Learn(now, wire.Hop{Route: "look", Service: "alarm"}, wire.Report{Slots: 10, Levels: []shed.Level{{Service: "alarm", Value: 0.4}}})
+		if decision := d.Decide(now, "read", "logboek", unimportant()); decision.Admitted {
+			require.True(t, decision.Explores)
+			admitted++
+		}
+	}
+	require.InDelta(t, 5, admitted, 1, "one request in two seconds")
+	d.Learn(now, wire.Hop{Route: "read", Service: "logboek"}, wire.Report{Slots: 10, Learned: true})
+	for range 10 {
+		decision := d.Decide(now, "read", "logboek", unimportant())
+		require.True(t, decision.Admitted)
+		require.False(t, decision.Explores)
+	}
+}
+
+// A route of which nothing is known is not refused for ever where another service is full.
+func TestAnUnknownRouteIsExplored(t *testing.T) {
+	now := time.Now()
+	d := learned(now)
+	admitted := 0
+	for range 50 {
+		now = now.Add(100 * time.Millisecond)
+		d.Learn(now, wire.Hop{Route: "look", Service: "alarm"}, wire.Report{Slots: 10, Levels: []shed.Level{{Service: "alarm", Value: 0.4}}})
+		if d.Decide(now, "archive", "certificaat", unimportant()).Admitted {
+			admitted++
+		}
+	}
+	require.InDelta(t, 2, admitted, 1)
+}
--- a/internal/front/handle.go
+++ b/internal/front/handle.go
@@ -123,6 +123,9 @@
 		Draw:     rand.Float64(),
 	})
 	r.detail = "rank " + decimal(decision.Rank) + ", level " + decimal(decision.Level) + " of " + decision.Service
+	if decision.Explores {
+		r.detail += ", explores"
+	}
 	if decision.Admitted {
 		return nil
 	}
--- a/pkg/fanout/needs.go
+++ b/pkg/fanout/needs.go
@@ -44,6 +44,18 @@
 	return t.needs[route]
 }
 
+// Heaviest returns the most calls to each service that an execution of a known route causes.
+func (t *Trees) Heaviest() map[string]float64 {
+	heaviest := map[string]float64{}
+	for _, needs := range t.needs {
+		for _, need := range needs {
+			heaviest[need.Service] = max(heaviest[need.Service], need.Calls)
+		}
+	}
+
+	return heaviest
+}
+
 // Callee is a route that an execution calls.
 type Callee struct {
 	Route   string
--- a/pkg/shed/shed_test.go
+++ b/pkg/shed/shed_test.go
@@ -14,6 +14,16 @@
 
 const step = 50 * time.Millisecond
 
+// needs are services that call trees reach as often as the heaviest of them.
+func needs(services ...string) []shed.Need {
+	found := make([]shed.Need, 0, len(services))
+	for _, service := range services {
+		found = append(found, shed.Need{Service: service, Weight: 1})
+	}
+
+	return found
+}
+
 func TestDecide(t *testing.T) {
 	now := time.Now()
 	board := shed.NewBoard()
@@ -24,12 +34,12 @@
 		admitted bool
 		service  string
 	}{
-		"most important":             {shed.Demand{Priority: 0, Lowest: 2, Draw: 0.99, Services: []string{"alarm"}}, true, "alarm"},
-		"least important, low draw":  {shed.Demand{Priority: 2, Lowest: 2, Draw: 0.1, Services: []string{"alarm"}}, true, "alarm"},
-		"least important, high draw": {shed.Demand{Priority: 2, Lowest: 2, Draw: 0.3, Services: []string{"keuring", "alarm"}}, false, "alarm"},
-		"other services":             {shed.Demand{Priority: 2, Lowest: 2, Draw: 0.9, Services: []string{"keuring"}}, true, ""},
-		"unheard of":                 {shed.Demand{Priority: 2, Lowest: 2, Draw: 0.9, Services: []string{"archief"}}, true, ""},
-		"one priority for all":       {shed.Demand{Draw: 0.1, Services: []string{"alarm"}}, true, "alarm"},
+		"most important":             {shed.Demand{Priority: 0, Lowest: 2, Draw: 0.99, Needs: needs("alarm")}, true, "alarm"},
+		"least important, low draw":  {shed.Demand{Priority: 2, Lowest: 2, Draw: 0.1, Needs: needs("alarm")}, true, "alarm"},
+		"least important, high draw": {shed.Demand{Priority: 2, Lowest: 2, Draw: 0.3, Needs: needs("keuring", "alarm")}, false, "alarm"},
+		"other services":             {shed.Demand{Priority: 2, Lowest: 2, Draw: 0.9, Needs: needs("keuring")}, true, ""},
+		"unheard of":                 {shed.Demand{Priority: 2, Lowest: 2, Draw: 0.9, Needs: needs("archief")}, true, ""},
+		"one priority for all":       {shed.Demand{Draw: 0.1, Needs: needs("alarm")}, true, "alarm"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			decision := board.Decide(now, test.demand)
@@ -52,7 +62,7 @@
 		board.Observe(now, "alarm", rapid.Float64Range(0, 1).Draw(t, "level"))
 		ask := func(priority int, name string) bool {
 			return board.Decide(now, shed.Demand{
-				Priority: priority, Lowest: lowest, Draw: rapid.Float64Range(0, 0.999).Draw(t, name), Services: []string{"alarm"},
+				Priority: priority, Lowest: lowest, Draw: rapid.Float64Range(0, 0.999).Draw(t, name), Needs: needs("alarm"),
 			}).Admitted
 		}
 		if ask(low, "low draw") {
@@ -61,6 +71,60 @@
 	})
 }
 
+// A request of few calls comes nearer to the next more important ones, but never ahead of one with the same draw.
+func TestALightRequestIsNeverAheadOfAMoreImportantOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		lowest := rapid.IntRange(1, 9).Draw(t, "lowest")
+		low := rapid.IntRange(1, lowest).Draw(t, "low")
+		draw := rapid.Float64Range(0, 0.999).Draw(t, "draw")
+		light, heavy := rapid.Float64Range(0, 1).Draw(t, "light"), rapid.Float64Range(0, 1).Draw(t, "heavy")
+		demand := shed.Demand{Priority: low, Lowest: lowest, Draw: draw}
+		above := shed.Demand{Priority: low - 1, Lowest: lowest, Draw: draw}
+		require.GreaterOrEqual(t, demand.Rank(light), above.Rank(1))
+		require.LessOrEqual(t, demand.Rank(min(light, heavy)), demand.Rank(max(light, heavy)))
+		least := shed.Demand{Priority: lowest, Lowest: lowest, Draw: draw}
+		require.InDelta(t, least.Rank(1), least.Rank(light), 1e-9, "the least important make room first, whatever they need")
+	})
+}
+
+// The load is a surge in which the most important requests alone ask for twice the room of a service that each calls eight times; a
+// less important request calls it once. Both are served about equally often, as refusing all of the light ones would make room for few.
+func TestLightRequestsAreServedBesideHeavyOnes(t *testing.T) {
+	now, rng := time.Now(), rand.New(rand.NewPCG(1, 2))
+	controller := shed.NewController(now)
+	const heavyRate, lightRate, heavyCalls, room = 100, 80, 8, 400
+	heavy, light, steps := 0, 0, 0
+	for ; steps < 400; steps++ {
+		now = now.Add(step)
+		board := shed.NewBoard()
+		board.Observe(now, "alarm", controller.Level())
+		ask := func(priority int, weight float64) int {
+			need := shed.Need{Service: "alarm", Weight: weight}
+			if board.Decide(now, shed.Demand{Priority: priority, Lowest: 2, Draw: rng.Float64(), Needs: []shed.Need{need}}).Admitted {
+				return 1
+			}
+
+			return 0
+		}
+		calls := 0
+		for range heavyRate {
+			if ask(0, 1) == 1 {
+				calls += heavyCalls
+				heavy++
+			}
+		}
+		for range lightRate {
+			admitted := ask(1, 1.0/heavyCalls)
+			light += admitted
+			calls += admitted
+		}
+		controller.Observe(now, float64(min(calls, 3*room))/room)
+	}
+	heavyShare, lightShare := float64(heavy)/float64(heavyRate*steps), float64(light)/float64(lightRate*steps)
+	require.InDelta(t, heavyShare, lightShare, 0.15)
+	require.Less(t, lightShare, heavyShare+0.05, "never before the more important")
+}
+
 func TestLevelWithoutReportsOpens(t *testing.T) {
 	now := time.Now()
 	board := shed.NewBoard()
--- a/pkg/shed/trees_test.go
+++ b/pkg/shed/trees_test.go
@@ -98,7 +98,7 @@
 		} else {
 			l.bulk.offered++
 		}
-		if level >= 1 || demand.Rank() < level {
+		if level >= 1 || demand.Rank(1) < level {
 			l.coming = append(l.coming, tree)
 		}
 	}
