--- a/pkg/shed/shed_test.go
+++ b/pkg/shed/shed_test.go
@@ -125,6 +125,42 @@
 	require.Less(t, lightShare, heavyShare+0.05, "never before the more important")
 }
 
+// tries are the requests of one kind in a second, those that come back included, with their calls to the service that binds.
+type tries struct {
+	priority int
+	count    int
+	calls    float64
+}
+
+// The load is that of a deployment which has lost three of four servers of its deepest service, as its nodes counted it: the most important
+// requests alone ask for five times the calls that are left. At the level that uses this room, a quarter of the clients must be served.
+func TestAQuarterIsServedWithOneServerOfFourLeft(t *testing.T) {
+	const clients, room, heaviest = 574, 550, 8
+	kinds := []tries{{0, 360, heaviest}, {2, 800, heaviest}, {1, 190, 1.6}}
+	const withoutCalls = 42
+	now := time.Now()
+	served := 0
+	for level := 0.0; level < 1; level += 0.001 {
+		board := shed.NewBoard()
+		board.Observe(now, "alarm", level)
+		calls, admitted := 0.0, withoutCalls
+		for _, kind := range kinds {
+			for i := range kind.count {
+				need := shed.Need{Service: "alarm", Weight: kind.calls / heaviest}
+				demand := shed.Demand{Priority: kind.priority, Lowest: 2, Draw: float64(i) / float64(kind.count), Needs: []shed.Need{need}}
+				if board.Decide(now, demand).Admitted {
+					calls += kind.calls
+					admitted++
+				}
+			}
+		}
+		if calls <= room {
+			served = max(served, admitted)
+		}
+	}
+	require.GreaterOrEqual(t, float64(served)/clients, 0.25)
+}
+
 func TestLevelWithoutReportsOpens(t *testing.T) {
 	now := time.Now()
 	board := shed.NewBoard()
