Bound every part of a response that never ends

Header, interim responses, chunk sizes and trailers had no bound, a stated length took its memory before a byte of it came, and bodies of 64 MB each had no common bound on VMs of 184 MB. Bodies of all responses of a node's front and guard have 48 MB each, and so has one response, 64 MB before. A body without a length that exceeds its bound counts as torn, which ejects the server. Conclusion: such a server costs its own callers and nothing else.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -30,7 +30,10 @@
 	// maxBody is the largest request body in bytes; the limit that operators set is enforced before the request gets here.
 	maxBody = 128 << 20
 	// maxResponse is the largest response in bytes that is buffered.
-	maxResponse = 64 << 20
+	maxResponse = 48 << 20
+	// maxBuffered bounds the bodies in bytes of all responses that are buffered at a time, so that a faulty server can't take the
+	// memory of the VM.
+	maxBuffered = maxResponse
 	// peerIdleTimeout is the time after which an idle connection to another node is not reused.
 	peerIdleTimeout = 2 * time.Second
 	// peerDialTimeout limits the time to connect to another node.
@@ -115,6 +118,7 @@
 	responseLatency *meter.Vec[tally.Histogram]
 	refused         *meter.Vec[tally.Counter]
 	client          *relay.Client
+	buffers         *relay.Buffers
 	close           func()
 	server          *listen.Server
 	picker          *picker
@@ -135,6 +139,7 @@
 	return &Front{
 		options:   options,
 		client:    client,
+		buffers:   relay.NewBuffers(maxBuffered),
 		close:     closeClient,
 		picker:    newPicker(options.Node, options.DataCentre, options.Seed),
 		splitter:  routes.NewSplitter(),
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -125,7 +125,12 @@
 	defer protocol.ReleaseRequest(out)
 	wire.ForwardRequest(out, &r.http.Request)
 	wire.SetHop(&out.Header, hop)
-	err := r.front.client.Do(c, chosen.Peers, out, response, relay.Limits{MaxBodyBytes: maxResponse, DialTimeout: peerDialTimeout, Deadline: r.deadline})
+	err := r.front.client.Do(c, chosen.Peers, out, response, relay.Limits{
+		MaxBodyBytes: maxResponse,
+		Buffers:      r.front.buffers,
+		DialTimeout:  peerDialTimeout,
+		Deadline:     r.deadline,
+	})
 	if err != nil {
 		outcome, reason := relay.OutcomeOf(err)
 
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -82,6 +82,7 @@
 	tracer    Tracer
 	refused   *meter.Vec[tally.Counter]
 	client    *relay.Client
+	buffers   *relay.Buffers
 	close     func()
 	server    *listen.Server
 	active    atomic.Int64
@@ -105,6 +106,7 @@
 	return &Guard{
 		options:   options,
 		client:    client,
+		buffers:   relay.NewBuffers(maxBuffered),
 		close:     closeClient,
 		stopped:   make(chan struct{}),
 		backend:   beat.NewServer(beat.Options{Service: options.Service, Address: options.Backend, Interval: options.Interval}),
--- a/internal/guard/run.go
+++ b/internal/guard/run.go
@@ -156,6 +156,7 @@
 	x.fillRequest(out, process, deadline)
 	err := g.client.Do(c, g.options.Backend, out, response, relay.Limits{
 		MaxBodyBytes:        maxResponse,
+		Buffers:             g.buffers,
 		Deadline:            deadline,
 		DialTimeout:         dialTimeout,
 		AllowCloseDelimited: true,
--- a/internal/guard/speak.go
+++ b/internal/guard/speak.go
@@ -23,7 +23,10 @@
 	// maxFailedDials is the number of failed connection attempts in a row after which the backend server is marked as lost.
 	maxFailedDials = 2
 	// maxResponse is the largest response in bytes that is buffered.
-	maxResponse = 64 << 20
+	maxResponse = 48 << 20
+	// maxBuffered bounds the bodies in bytes of all responses that are buffered at a time, so that a faulty server can't take the
+	// memory of the VM.
+	maxBuffered = maxResponse
 )
 
 const (
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -18,6 +18,9 @@
 type Response struct {
 	Response protocol.Response
 	Stream   *Stream
+	// buffers bounds the body together with those of other responses, and reserved is the number of bytes that the body takes of it.
+	buffers  *Buffers
+	reserved int
 }
 
 // responsePool reuses responses together with their header buffers.
@@ -40,9 +43,25 @@
 		r.Stream.Close()
 		r.Stream = nil
 	}
+	r.releaseBody()
 	r.Response.Reset()
 }
 
+// reserve reports whether the body may take further bytes of memory.
+func (r *Response) reserve(bytes int) bool {
+	if !r.buffers.reserve(bytes) {
+		return false
+	}
+	r.reserved += bytes
+
+	return true
+}
+
+func (r *Response) releaseBody() {
+	r.buffers.release(r.reserved)
+	r.reserved = 0
+}
+
 // Stream reads a response body that is too large to be buffered.
 type Stream struct {
 	attempt *attempt
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -21,6 +21,9 @@
 	errTrailingBytes    = errors.New("bytes after the end of the answer")
 	errTooLong          = errors.New("answer is longer than allowed")
 	errWrongResponse    = errors.New("answer belongs to another request")
+	errHeadTooLong      = errors.New("header is longer than allowed")
+	errEndless          = errors.New("answer without a length is longer than allowed")
+	errBuffersFull      = errors.New("bodies of other answers take all memory for them")
 )
 
 // Idle timeouts of pooled connections. Each is shorter than the idle timeout of the server at the other end, so that a request is
@@ -67,13 +70,23 @@
 	AllowCloseDelimited bool
 	// Deadline bounds the attempt; zero means the deadline of the context.
 	Deadline time.Time
+	// Buffers bounds the bodies of all responses of several attempts together; nil for no such bound.
+	Buffers *Buffers
 	// Matches reports whether a response belongs to the request; responses that do not are skipped. If nil, every response belongs
 	// to it.
 	Matches func(header *protocol.ResponseHeader) bool
 }
 
-// maxSkippedResponses is the number of responses to other requests after which an attempt fails.
-const maxSkippedResponses = 3
+const (
+	// maxSkippedResponses is the number of responses to other requests after which an attempt fails.
+	maxSkippedResponses = 3
+	// maxHeadBytes bounds the header of a response together with the interim responses before it.
+	maxHeadBytes = maxPeekBytes
+	// firstFinalStatus is the lowest status of a response that is not an interim one.
+	firstFinalStatus = 200
+	// statusSwitchingProtocols is the one status below it that ends the response.
+	statusSwitchingProtocols = 101
+)
 
 // Do sends the request once and reads the response. It needs a deadline in the limits or the context. Errors are of type *Error.
 func (c *Client) Do(ctx context.Context, address string, request *protocol.Request, response *Response, limits Limits) error {
@@ -88,6 +101,7 @@
 	if !deadline.After(now) {
 		return &Error{Stage: StageDial, Reason: call.ReasonDeadline, Cause: errDeadlineExceeded}
 	}
+	response.buffers = limits.Buffers
 	attempt := &attempt{pool: c.pool(address), limits: limits, response: response, deadline: deadline}
 	if err := attempt.connect(ctx, now); err != nil {
 		return err
@@ -221,7 +235,7 @@
 func (a *attempt) readHeader() error {
 	response := &a.response.Response
 	for range maxSkippedResponses {
-		if err := resp.ReadHeaders(response, a.conn); err != nil {
+		if err := a.readFinalHeader(); err != nil {
 			return err
 		}
 		if a.limits.Matches == nil || a.limits.Matches(&response.Header) {
@@ -230,10 +244,11 @@
 		if response.Header.ContentLength() == closeDelimitedLength && !response.MustSkipBody() {
 			return errWrongResponse
 		}
-		if err := resp.ReadRespBody(response, a.conn, a.limits.MaxBodyBytes); err != nil {
+		if _, err := a.bufferBody(); err != nil {
 			return err
 		}
 		a.skippedResponse = true
+		a.response.releaseBody()
 		response.Reset()
 		if err := a.waitForResponse(); err != nil {
 			return err
@@ -243,6 +258,49 @@
 	return errWrongResponse
 }
 
+// readFinalHeader reads the header of a response, and skips interim responses.
+func (a *attempt) readFinalHeader() error {
+	response := &a.response.Response
+	begin := a.conn.consumed
+	for {
+		if err := resp.ReadHeaders(response, a.conn); err != nil {
+			return err
+		}
+		status := response.StatusCode()
+		if status >= firstFinalStatus || status == statusSwitchingProtocols {
+			return nil
+		}
+		if a.conn.consumed-begin > maxHeadBytes {
+			return errHeadTooLong
+		}
+	}
+}
+
+// bufferBody reads the body into memory, and reports whether bytes follow it.
+func (a *attempt) bufferBody() (trailing bool, err error) {
+	response := &a.response.Response
+	if response.MustSkipBody() {
+		return a.conn.Len() > 0, nil
+	}
+	pooled := response.BodyBuffer()
+	body := bodyBuffer{body: pooled.B[:0], maxBytes: a.limits.MaxBodyBytes, response: a.response}
+	switch length := response.Header.ContentLength(); length {
+	case closeDelimitedLength:
+		err = body.readToEnd(a.conn)
+	case chunkedLength:
+		trailing, err = body.readChunked(a.conn)
+	default:
+		err = body.readLength(a.conn, length)
+	}
+	pooled.B = body.body
+	if err != nil {
+		return false, err
+	}
+	response.Header.SetContentLength(len(body.body))
+
+	return trailing || a.conn.Len() > 0, nil
+}
+
 func (a *attempt) send(request *protocol.Request) error {
 	if err := a.conn.SetWriteDeadline(a.deadline); err != nil {
 		return err
@@ -287,11 +345,11 @@
 	if a.limits.Stream && successful(response.StatusCode()) {
 		return a.openStream(ctx)
 	}
-	if err := resp.ReadRespBody(response, a.conn, a.limits.MaxBodyBytes); err != nil {
+	// a response that Matches has identified is complete despite trailing bytes, but its connection must not be reused
+	trailing, err := a.bufferBody()
+	if err != nil {
 		return err
 	}
-	// a response that Matches has identified is complete despite trailing bytes, but its connection must not be reused
-	trailing := a.conn.Len() > 0
 	if trailing && a.limits.Matches == nil {
 		return errTrailingBytes
 	}
@@ -305,11 +363,9 @@
 	if !a.limits.AllowCloseDelimited {
 		return errNoLength
 	}
-	body, err := a.conn.readUntilClose(a.limits.MaxBodyBytes)
-	if err != nil {
+	if _, err := a.bufferBody(); err != nil {
 		return err
 	}
-	a.response.Response.SetBodyRaw(body)
 	a.release(false)
 
 	return nil
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"syscall"
 	"time"
@@ -21,6 +20,8 @@
 	keepAliveCount    = 2
 	// sendTimeout bounds how long sent data may stay unacknowledged.
 	sendTimeout = 2 * time.Second
+	// maxPeekBytes is the number of buffered bytes at which a response header, a chunk size or a trailer is too long.
+	maxPeekBytes = 64 << 10
 	// tcpUserTimeout is the socket option TCP_USER_TIMEOUT of Linux.
 	tcpUserTimeout = 18
 )
@@ -36,6 +37,8 @@
 	buffer []byte
 	start  int
 	end    int
+	// consumed is the number of bytes that the parser has taken from the buffer.
+	consumed int
 }
 
 // dialConn opens a connection with TCP keep-alive and a send timeout, which detect an unresponsive peer.
@@ -98,6 +101,9 @@
 // Peek returns the next n bytes without consuming them, or fewer with the error that ended the read.
 func (c *conn) Peek(n int) ([]byte, error) {
 	for c.Len() < n {
+		if c.Len() >= maxPeekBytes {
+			return c.buffer[c.start:c.end], errHeadTooLong
+		}
 		c.makeRoom(n)
 		count, err := c.Conn.Read(c.buffer[c.end:])
 		c.end += count
@@ -132,6 +138,7 @@
 		return err
 	}
 	c.start += n
+	c.consumed += n
 
 	return nil
 }
@@ -154,6 +161,7 @@
 		return nil, err
 	}
 	c.start += n
+	c.consumed += n
 
 	return append([]byte(nil), next...), nil
 }
@@ -192,23 +200,3 @@
 func (c *conn) Write(p []byte) (int, error) {
 	return c.Conn.Write(p)
 }
-
-// readUntilClose reads a body until the peer closes the connection. If the connection ends in any other way, the body is
-// incomplete and an error is returned.
-func (c *conn) readUntilClose(maxBytes int) ([]byte, error) {
-	body := make([]byte, 0, initialReadBuffer)
-	for {
-		if _, err := c.Peek(1); err != nil {
-			if err == io.EOF {
-				return body, nil
-			}
-
-			return nil, err
-		}
-		body = append(body, c.buffer[c.start:c.end]...)
-		c.start = c.end
-		if len(body) > maxBytes {
-			return nil, errTooLong
-		}
-	}
-}
--- a/internal/relay/timing.go
+++ b/internal/relay/timing.go
@@ -10,8 +10,11 @@
 	"github.com/pistachiotack/pistachiotack/pkg/call"
 )
 
-// closeDelimitedLength is the content length that hertz reports for a body that ends with its connection.
-const closeDelimitedLength = -2
+// Content lengths that hertz reports for a body that ends with its connection, and for a chunked body.
+const (
+	closeDelimitedLength = -2
+	chunkedLength        = -1
+)
 
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
@@ -31,13 +34,17 @@
 	return cockroach.Is(err, errors.ErrTimeout) || (cockroach.As(err, &timeout) && timeout.Timeout())
 }
 
-// bodyReason distinguishes an incomplete response from one that is too large to be buffered.
+// bodyReason distinguishes an incomplete response from one that is too large to be buffered. A body that states no length and
+// exceeds the limit counts as incomplete, since it may never end.
 func bodyReason(err error) call.Reason {
-	if cockroach.Is(err, errors.ErrBodyTooLarge) {
+	switch {
+	case cockroach.Is(err, errTooLong):
 		return call.ReasonTooLarge
+	case cockroach.Is(err, errBuffersFull):
+		return call.ReasonBufferFull
+	default:
+		return call.ReasonTorn
 	}
-
-	return call.ReasonTorn
 }
 
 // waitReason distinguishes a broken connection, an exceeded deadline and an attempt that CheckProgress has ended.
