Handle pipelined requests side by side, and survive a panic in a handler

Cause: hertz reads a request only after the response to the one before, so of three requests of 400 ms sent at once the last waited 800 ms; when the client hung up, bytes of later requests hid it and the running one went on. A panic in a handler, which runs without recovery, ended the process; a planned stop counted a response as done before it was written. Change: pkg/order decides which requests of a connection run side by side, in which order responses go out and which one closes; internal/listen serves connections with it, on hertz's protocol hook, parser and writer. Requests that may be repeated are read ahead, 16 at most and 1 MiB of held responses; others run alone. A hang-up cancels all, also behind unread bytes. A closing response is the last, after all that have started. Server.Close waits for responses that are being sent. Weighed against reading ahead in the listener: that needs a second parser to find where requests end.

--- a/internal/cmds/node.go
+++ b/internal/cmds/node.go
@@ -65,5 +65,9 @@
 		return nil, errors.Wrap(err, "parse log level")
 	}
 
-	return slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: parsed})), nil
+	log := slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: parsed}))
+	// connections of all listeners log to it when a handler panics
+	slog.SetDefault(log)
+
+	return log, nil
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -106,7 +106,7 @@
 		return nil, err
 	}
 	var err error
-	if e.callers, err = listen.New(e.options.Callers, e.handleCaller, listen.Options{MaxBody: maxBody}); err != nil {
+	if e.callers, err = listen.New(e.options.Callers, e.handleCaller, listen.Options{MaxBody: maxBody, Repeatable: e.repeatable}); err != nil {
 		return nil, err
 	}
 	if e.backend, err = listen.New(e.options.Backend, e.handleBackend, listen.Options{MaxBody: maxBody}); err != nil {
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol"
 
+	"github.com/pistachiotack/pistachiotack/internal/listen"
 	"github.com/pistachiotack/pistachiotack/internal/scope"
 	"github.com/pistachiotack/pistachiotack/internal/trace"
 	"github.com/pistachiotack/pistachiotack/internal/wire"
@@ -40,7 +42,7 @@
 
 // handleCaller serves a root request.
 func (e *Entry) handleCaller(c context.Context, ctx *app.RequestContext) {
-	e.serve(c, ctx, e.newRoot(ctx, time.Now()))
+	e.serve(c, ctx, e.newRoot(ctx, listen.ArrivedAt(ctx)))
 }
 
 // handleBackend serves an outgoing call of the local backend server, which inherits the scope of its parent operation.
@@ -51,7 +53,7 @@
 	case found:
 		e.serve(c, ctx, inherited)
 	case parent == "" && e.allowsOrphans():
-		e.serve(c, ctx, e.newRoot(ctx, time.Now()))
+		e.serve(c, ctx, e.newRoot(ctx, listen.ArrivedAt(ctx)))
 	default:
 		refusal := call.NewRefusal(call.OutcomeNotRun, call.ReasonNoParent).
 			WithDetail("no running operation %q; pass %s on", parent, wire.HeaderParent)
@@ -63,7 +65,7 @@
 // the class or the credits above those of the policy.
 func (e *Entry) newRoot(ctx *app.RequestContext, now time.Time) *scope.Scope {
 	snapshot := e.settings.Snapshot()
-	policy := e.policy(snapshot, ctx)
+	policy := e.policy(snapshot, &ctx.Request.Header)
 	budget := policy.Deadline
 	if timeout := wire.Timeout(&ctx.Request.Header); timeout > 0 {
 		budget = min(budget, timeout)
@@ -86,7 +88,7 @@
 	defer e.active.Add(-1)
 
 	now := time.Now()
-	policy := e.policy(inherited.Snapshot, ctx)
+	policy := e.policy(inherited.Snapshot, &ctx.Request.Header)
 	r := &request{
 		entry:     e,
 		http:      ctx,
@@ -134,8 +136,20 @@
 	return inherited
 }
 
-func (e *Entry) policy(snapshot *tree.Snapshot, ctx *app.RequestContext) tree.Policy {
-	return snapshot.Policy(e.options.DataCentre, serviceOf(ctx), string(ctx.Request.Header.Method()), string(ctx.Request.URI().Path()))
+func (e *Entry) policy(snapshot *tree.Snapshot, header *protocol.RequestHeader) tree.Policy {
+	uri := protocol.AcquireURI()
+	defer protocol.ReleaseURI(uri)
+	uri.Parse(header.Host(), header.RequestURI())
+
+	return snapshot.Policy(e.options.DataCentre, serviceOf(header), string(header.Method()), string(uri.Path()))
+}
+
+// repeatable reports whether the request may run beside others of its connection. Streams are written while they are handled, so they
+// need the connection for themselves.
+func (e *Entry) repeatable(header *protocol.RequestHeader) bool {
+	policy := e.policy(e.settings.Snapshot(), header)
+
+	return policy.Idempotent && !policy.Once && !policy.Stream
 }
 
 func (r *request) refuse(refusal *call.Refusal) {
@@ -159,11 +173,11 @@
 }
 
 // serviceOf returns the service named in the service header, or else the first label of the host.
-func serviceOf(ctx *app.RequestContext) string {
-	if named := ctx.Request.Header.Peek(wire.HeaderService); len(named) > 0 {
+func serviceOf(header *protocol.RequestHeader) string {
+	if named := header.Peek(wire.HeaderService); len(named) > 0 {
 		return string(named)
 	}
-	host := string(ctx.Request.Header.Host())
+	host := string(header.Host())
 	label, _, _ := strings.Cut(host, ".")
 	label, _, _ = strings.Cut(label, ":")
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -160,7 +160,11 @@
 		return nil, err
 	}
 	var err error
-	f.server, err = listen.New(f.options.Listen, f.handle, listen.Options{MaxBody: maxBody, Idle: clientIdleTimeout + closeMargin})
+	f.server, err = listen.New(f.options.Listen, f.handle, listen.Options{
+		MaxBody:    maxBody,
+		Idle:       clientIdleTimeout + closeMargin,
+		Repeatable: f.repeatable,
+	})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/front/handle.go
+++ b/internal/front/handle.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
+	"github.com/cloudwego/hertz/pkg/protocol"
 
+	"github.com/pistachiotack/pistachiotack/internal/listen"
 	"github.com/pistachiotack/pistachiotack/internal/relay"
 	"github.com/pistachiotack/pistachiotack/internal/trace"
 	"github.com/pistachiotack/pistachiotack/internal/wire"
@@ -63,7 +65,7 @@
 func (f *Front) handle(c context.Context, ctx *app.RequestContext) {
 	f.active.Add(1)
 	defer f.active.Add(-1)
-	r := &request{front: f, http: ctx, id: f.options.Dialect.RequestID(&ctx.Request.Header), arrivedAt: time.Now()}
+	r := &request{front: f, http: ctx, id: f.options.Dialect.RequestID(&ctx.Request.Header), arrivedAt: listen.ArrivedAt(ctx)}
 	if refusal := r.classify(); refusal != nil {
 		r.refuse(refusal)
 
@@ -88,9 +90,8 @@
 	if r.table = r.front.rules.Table(); r.table == nil {
 		return call.NewRefusal(call.OutcomeNotRun, call.ReasonWarming).WithRetryAfter(notReadyRetryAfter)
 	}
-	path, _, _ := strings.Cut(string(header.RequestURI()), "?")
 	found := false
-	if r.route, found = r.table.Find(string(header.Host()), path); !found {
+	if r.route, found = findRoute(r.table, header); !found {
 		return call.NewRefusal(call.OutcomeNotRun, call.ReasonUnknownService)
 	}
 	r.service = r.front.splitter.Pick(r.table, r.route)
@@ -111,6 +112,24 @@
 	return nil
 }
 
+// findRoute returns the route of the request, false if there is none.
+func findRoute(table *routes.Table, header *protocol.RequestHeader) (*routes.Route, bool) {
+	path, _, _ := strings.Cut(string(header.RequestURI()), "?")
+
+	return table.Find(string(header.Host()), path)
+}
+
+// repeatable reports whether the request is on a route in force whose requests may run more than once.
+func (f *Front) repeatable(header *protocol.RequestHeader) bool {
+	table := f.rules.Table()
+	if table == nil {
+		return false
+	}
+	found, ok := findRoute(table, header)
+
+	return ok && found.Idempotency == routes.Idempotent
+}
+
 // admit decides whether the services that the whole call tree needs have capacity for it. The decision is made at the first hop:
 // calls from backend servers and requests of unknown origin are admitted without it.
 func (r *request) admit() *call.Refusal {
--- /dev/null
+++ b/internal/listen/conn.go
@@ -0,0 +1,407 @@
+package listen
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	hertzerrors "github.com/cloudwego/hertz/pkg/common/errors"
+	"github.com/cloudwego/hertz/pkg/network"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+	"github.com/cockroachdb/errors"
+
+	"github.com/pistachiotack/pistachiotack/pkg/order"
+)
+
+const (
+	// maxPipelined is the number of requests of one connection that may be in progress, and maxHeldResponses the size in bytes of
+	// responses that may wait for an earlier one, before further requests stay unread.
+	maxPipelined     = 16
+	maxHeldResponses = 1 << 20
+	// releaseThreshold is the number of bytes read after which the input buffer is freed as soon as no request uses it, and
+	// maxUnreleased the number at which no request is read before that.
+	releaseThreshold = 4 << 10
+	maxUnreleased    = 64 << 10
+	// maxUnread is the number of bytes behind an exclusive request that are buffered to notice when the client closes the connection.
+	maxUnread = 64 << 10
+	// writeTimeout bounds the time to write a response to a client that reads slowly.
+	writeTimeout = 30 * time.Second
+	// lingerTimeout and maxLingerBytes bound the wait for the end of requests that the client has sent behind the last response.
+	// Closing the connection with unread bytes would reset it, and the client could lose the response.
+	lingerTimeout  = 500 * time.Millisecond
+	maxLingerBytes = 256 << 10
+)
+
+// messageHandlerPanic is the message of the log line and the body of the response.
+const messageHandlerPanic = "panic while a request was handled"
+
+var errHandlerPanic = errors.New(messageHandlerPanic)
+
+// connection is one connection of a client. One goroutine reads requests, each request is handled in a goroutine of its own, and
+// whichever of these completes the oldest request writes the responses that are due.
+type connection struct {
+	protocol *protocolServer
+	conn     network.Conn
+	socket   net.Conn
+	cancel   context.CancelFunc
+	handlers sync.WaitGroup
+	// changed wakes the reader when it waits for a response to be sent.
+	changed chan struct{}
+
+	mu        sync.Mutex
+	queue     *order.Queue
+	exchanges map[int]*exchange
+	writing   bool
+	// idle is true while the reader waits for the first byte of a request, and parked while it must not read a request but watches
+	// the connection for its end.
+	idle, parked bool
+	// unread is the number of bytes in the input buffer while the reader is parked.
+	unread int
+	// served is true once a request has been read.
+	served bool
+	// pipelined is true once a request has been read before the response to the one before it was sent.
+	pipelined bool
+	// unreleased is the number of bytes read since the input buffer was freed; only the reader uses it.
+	unreleased int
+}
+
+func newConnection(protocol *protocolServer, conn network.Conn, socket net.Conn) *connection {
+	return &connection{
+		protocol:  protocol,
+		conn:      conn,
+		socket:    socket,
+		changed:   make(chan struct{}, 1),
+		queue:     order.NewQueue(order.Limits{Requests: maxPipelined, HeldBytes: maxHeldResponses}),
+		exchanges: map[int]*exchange{},
+	}
+}
+
+// serve reads requests until the connection ends, and returns after all handlers have returned.
+func (c *connection) serve(ctx context.Context) (err error) {
+	ctx, c.cancel = context.WithCancel(ctx)
+	defer c.cancel()
+	defer c.end()
+	defer func() {
+		if cause := recover(); cause != nil {
+			c.logPanic(ctx, cause)
+			err = hertzerrors.ErrShortConnection
+		}
+	}()
+	for c.waitForRequest() {
+		if err := c.acceptRequest(ctx); err != nil {
+			break
+		}
+	}
+
+	return hertzerrors.ErrShortConnection
+}
+
+// end cancels the requests that are still in progress if the client has hung up, and lets the client read the last response.
+func (c *connection) end() {
+	c.mu.Lock()
+	answered := c.queue.Ended() && c.queue.Open() == 0
+	linger := answered && c.pipelined
+	if !answered {
+		c.queue.HangUp()
+	}
+	c.mu.Unlock()
+	if linger {
+		c.linger()
+	}
+	c.cancel()
+	_ = c.conn.Close()
+	c.handlers.Wait()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, x := range c.exchanges {
+		c.drop(x)
+	}
+}
+
+// drop removes an exchange without a sent response. The mutex must be held.
+func (c *connection) drop(x *exchange) {
+	delete(c.exchanges, x.sequence)
+	c.protocol.server.endRequest()
+	c.protocol.recycle(x.ctx)
+}
+
+// linger closes the connection for writing, and discards what the client still sends.
+func (c *connection) linger() {
+	socket, ok := c.socket.(interface{ CloseWrite() error })
+	if !ok || socket.CloseWrite() != nil {
+		return
+	}
+	if err := c.socket.SetReadDeadline(time.Now().Add(lingerTimeout)); err != nil {
+		return
+	}
+	_, _ = io.CopyN(io.Discard, c.socket, maxLingerBytes)
+}
+
+// waitForRequest waits until the first bytes of a request have arrived that may be read, and reports whether there is one.
+func (c *connection) waitForRequest() bool {
+	for {
+		c.mu.Lock()
+		if c.queue.Ended() {
+			c.mu.Unlock()
+
+			return false
+		}
+		open := c.queue.Open()
+		ready := c.queue.MayRead() && (c.unreleased < maxUnreleased || open == 0)
+		c.idle, c.parked, c.unread = ready, !ready, c.conn.Len()
+		c.setIdleDeadline(open)
+		c.mu.Unlock()
+		wanted := 1
+		if !ready {
+			wanted += c.conn.Len()
+		}
+		if wanted > maxUnread {
+			<-c.changed
+
+			continue
+		}
+		_, err := c.conn.Peek(wanted)
+		switch {
+		case err == nil && ready:
+			return c.beginRead()
+		case err == nil:
+		case !c.interrupted(err):
+			c.hangUp()
+
+			return false
+		}
+	}
+}
+
+// setIdleDeadline bounds the wait for the next request while none is in progress. The mutex must be held.
+func (c *connection) setIdleDeadline(open int) {
+	deadline := time.Time{}
+	switch {
+	case open > 0:
+	case c.served:
+		deadline = time.Now().Add(c.protocol.server.idleTimeout)
+	default:
+		deadline = time.Now().Add(readTimeout)
+	}
+	_ = c.conn.SetReadDeadline(deadline)
+}
+
+// interrupted reports whether a read ended because the reader was woken, and not because the client has hung up or was idle for too
+// long.
+func (c *connection) interrupted(err error) bool {
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.parked || c.queue.Open() > 0 || c.queue.Ended()
+}
+
+// beginRead prepares the connection for reading a request whose first bytes have arrived.
+func (c *connection) beginRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idle, c.served = false, true
+	if c.queue.Ended() {
+		return false
+	}
+	_ = c.conn.SetReadDeadline(time.Now().Add(readTimeout))
+	if c.queue.Open() == 0 && c.unreleased >= releaseThreshold {
+		_ = c.conn.Release()
+		c.unreleased = 0
+	}
+
+	return true
+}
+
+// acceptRequest reads a request and starts it unless it has to wait. The error is not nil if the connection can't be used any more.
+func (c *connection) acceptRequest(ctx context.Context) error {
+	x := &exchange{ctx: c.protocol.acquire(c.conn), arrivedAt: time.Now()}
+	buffered := c.conn.Len()
+	err := x.read(c.protocol.server.maxHeader, c.protocol.server.maxBody)
+	c.unreleased += max(buffered-c.conn.Len(), len(x.ctx.Request.Header.RawHeaders())) + len(x.ctx.Request.BodyBytes())
+	if err == nil && x.ctx.Request.MayContinue() {
+		if err = c.waitForResponses(); err == nil {
+			err = x.readContinued(c.protocol.server.maxBody)
+		}
+	}
+	if err != nil && disconnected(err) {
+		c.protocol.recycle(x.ctx)
+		c.hangUp()
+
+		return err
+	}
+	x.exclusive = err != nil || !c.protocol.server.repeatable(&x.ctx.Request.Header)
+	x.closes = err != nil || x.ctx.Request.Header.ConnectionClose()
+	if err != nil {
+		x.reject(err)
+	}
+	c.enqueue(ctx, x, err == nil)
+
+	return nil
+}
+
+// waitForResponses waits until no request is in progress, since an interim response must not overtake other responses.
+func (c *connection) waitForResponses() error {
+	for {
+		c.mu.Lock()
+		open, ended := c.queue.Open(), c.queue.Ended()
+		c.mu.Unlock()
+		if ended {
+			return io.EOF
+		}
+		if open == 0 {
+			return nil
+		}
+		<-c.changed
+	}
+}
+
+// enqueue adds a request to the queue. One that could not be read already has its response.
+func (c *connection) enqueue(ctx context.Context, x *exchange, handled bool) {
+	c.protocol.server.beginRequest()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pipelined = c.pipelined || c.queue.Open() > 0
+	var start bool
+	x.sequence, start = c.queue.Accept(order.Request{Exclusive: x.exclusive && handled, Last: x.closes})
+	c.exchanges[x.sequence] = x
+	switch {
+	case !handled:
+		c.queue.Complete(x.sequence, x.responseBytes(), true)
+		c.handlers.Add(1)
+		go func() {
+			defer c.handlers.Done()
+			c.sendResponses(ctx)
+		}()
+	case start:
+		c.start(ctx, x)
+	default:
+		x.markArrival()
+	}
+}
+
+// start runs the handler. The mutex must be held.
+func (c *connection) start(ctx context.Context, x *exchange) {
+	c.handlers.Add(1)
+	go func() {
+		defer c.handlers.Done()
+		c.handle(ctx, x)
+		c.complete(x)
+		c.sendResponses(ctx)
+	}()
+}
+
+// handle calls the handler. A panic becomes an error response to this request, so that it doesn't end the process.
+func (c *connection) handle(ctx context.Context, x *exchange) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			c.logPanic(ctx, cause)
+			x.ctx.Response.Reset()
+			x.ctx.AbortWithMsg(messageHandlerPanic, consts.StatusInternalServerError)
+			x.ctx.Response.SetConnectionClose()
+		}
+	}()
+	c.protocol.core.ServeHTTP(ctx, x.ctx)
+}
+
+func (*connection) logPanic(ctx context.Context, cause any) {
+	slog.Default().LogAttrs(ctx, slog.LevelError, messageHandlerPanic, slog.Any("panic", cause), slog.String("stack", string(debug.Stack())))
+}
+
+func (c *connection) complete(x *exchange) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.queue.Complete(x.sequence, x.responseBytes(), x.closes || x.ctx.Response.ConnectionClose())
+}
+
+// sendResponses writes the responses that are due, unless another goroutine is doing so.
+func (c *connection) sendResponses(ctx context.Context) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writing {
+		return
+	}
+	c.writing = true
+	defer func() { c.writing = false }()
+	for {
+		sequence, last, found := c.queue.NextResponse()
+		if !found {
+			return
+		}
+		x := c.exchanges[sequence]
+		c.mu.Unlock()
+		err := c.write(ctx, x, last)
+		c.mu.Lock()
+		if err != nil {
+			c.queue.HangUp()
+			c.cancel()
+			c.wakeReader()
+
+			return
+		}
+		c.sent(ctx, x)
+	}
+}
+
+// write writes one response. A panic of the library while it encodes the response ends the connection only.
+func (c *connection) write(ctx context.Context, x *exchange, last bool) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			c.logPanic(ctx, cause)
+			err = errHandlerPanic
+		}
+	}()
+	if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	if err := x.write(last); err != nil {
+		return err
+	}
+
+	return c.conn.SetWriteDeadline(time.Time{})
+}
+
+// sent removes the exchange, starts the one that has waited for it, and tells the reader. The mutex must be held.
+func (c *connection) sent(ctx context.Context, x *exchange) {
+	c.drop(x)
+	if next, start := c.queue.Sent(); start {
+		c.start(ctx, c.exchanges[next])
+	}
+	switch {
+	case c.queue.Ended(), c.parked && c.unread > 0:
+		c.wakeReader()
+	case c.queue.Open() == 0 && (c.idle || c.parked):
+		c.idle, c.parked = true, false
+		c.setIdleDeadline(0)
+	}
+	c.notify()
+}
+
+// wakeReader ends the reader's wait for bytes of the client. The mutex must be held.
+func (c *connection) wakeReader() {
+	if c.idle || c.parked {
+		_ = c.conn.SetReadDeadline(time.Unix(1, 0))
+	}
+	c.notify()
+}
+
+func (c *connection) notify() {
+	select {
+	case c.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (c *connection) hangUp() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.queue.HangUp()
+	c.cancel()
+}
--- /dev/null
+++ b/internal/listen/exchange.go
@@ -0,0 +1,124 @@
+package listen
+
+import (
+	"io"
+	"net"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+	hertzerrors "github.com/cloudwego/hertz/pkg/common/errors"
+	"github.com/cloudwego/hertz/pkg/protocol/consts"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/req"
+	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
+	"github.com/cockroachdb/errors"
+)
+
+// arrivalKey is the key under which a request context holds the time at which a delayed request arrived.
+const arrivalKey = "listen.arrivedAt"
+
+// responseContinue is the interim response that asks the client for the request body.
+const responseContinue = "HTTP/1.1 100 Continue\r\n\r\n"
+
+// exchange is a request of a connection and its response.
+type exchange struct {
+	ctx       *app.RequestContext
+	sequence  int
+	arrivedAt time.Time
+	exclusive bool
+	// closes is true if the client asked to close the connection after the response.
+	closes bool
+}
+
+// ArrivedAt returns when the request was read, which is earlier than its handler was called if it had to wait for the requests before
+// it on the connection.
+func ArrivedAt(ctx *app.RequestContext) time.Time {
+	if at, found := ctx.Get(arrivalKey); found {
+		if arrivedAt, ok := at.(time.Time); ok {
+			return arrivedAt
+		}
+	}
+
+	return time.Now()
+}
+
+// markArrival makes the arrival available to the handler if it starts later.
+func (x *exchange) markArrival() {
+	x.ctx.Set(arrivalKey, x.arrivedAt)
+}
+
+// responseBytes returns the size of the finished response in memory.
+func (x *exchange) responseBytes() int {
+	return len(x.ctx.Response.BodyBytes())
+}
+
+// write writes the response to the connection.
+func (x *exchange) write(last bool) error {
+	response := &x.ctx.Response
+	header := &response.Header
+	header.ResetConnectionClose()
+	switch {
+	case last:
+		header.SetCanonical([]byte("Connection"), []byte("close"))
+	case !x.ctx.Request.Header.IsHTTP11():
+		header.SetCanonical([]byte("Connection"), []byte("keep-alive"))
+	}
+	if !x.ctx.IsGet() && x.ctx.IsHead() {
+		response.SkipBody = true
+	}
+	writer := x.ctx.GetWriter()
+	if hijacked := response.GetHijackWriter(); hijacked != nil {
+		if err := hijacked.Finalize(); err != nil {
+			return err
+		}
+
+		return writer.Flush()
+	}
+	if err := resp.Write(response, writer); err != nil {
+		return err
+	}
+
+	return writer.Flush()
+}
+
+// read reads the request header, and the body unless the client waits for an interim response before it sends the body.
+func (x *exchange) read(maxHeader, maxBody int) error {
+	reader := x.ctx.GetReader()
+	if err := req.ReadHeaderWithLimit(&x.ctx.Request.Header, reader, maxHeader); err != nil {
+		return err
+	}
+
+	return req.ReadLimitBody(&x.ctx.Request, reader, maxBody, false, false)
+}
+
+// readContinued asks the client for the request body, and reads it.
+func (x *exchange) readContinued(maxBody int) error {
+	writer := x.ctx.GetWriter()
+	if _, err := writer.WriteBinary([]byte(responseContinue)); err != nil {
+		return err
+	}
+	if err := writer.Flush(); err != nil {
+		return err
+	}
+
+	return req.ContinueReadBody(&x.ctx.Request, x.ctx.GetReader(), maxBody, false)
+}
+
+// disconnected reports whether a read failed because the client has closed the connection without a further request.
+func disconnected(err error) bool {
+	return errors.Is(err, hertzerrors.ErrNothingRead) || errors.Is(err, io.EOF)
+}
+
+// reject makes the response to a request that could not be read.
+func (x *exchange) reject(err error) {
+	var fault net.Error
+	switch {
+	case errors.As(err, &fault) && fault.Timeout():
+		x.ctx.AbortWithMsg("Request timeout", consts.StatusRequestTimeout)
+	case errors.Is(err, hertzerrors.ErrBodyTooLarge):
+		x.ctx.AbortWithMsg("Request Entity Too Large", consts.StatusRequestEntityTooLarge)
+	case errors.Is(err, hertzerrors.ErrHeaderTooLarge):
+		x.ctx.AbortWithMsg("Request Header Fields Too Large", consts.StatusRequestHeaderFieldsTooLarge)
+	default:
+		x.ctx.AbortWithMsg("Error when parsing request", consts.StatusBadRequest)
+	}
+}
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -1,6 +1,7 @@
 package listen
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"sync/atomic"
@@ -11,17 +12,24 @@
 	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cloudwego/hertz/pkg/protocol/suite"
 	"github.com/cockroachdb/errors"
 )
 
 const (
 	defaultIdleTimeout = time.Minute
-	readTimeout        = 30 * time.Second
+	// readTimeout bounds the time to read a request, and the wait for the first one on a connection.
+	readTimeout = 30 * time.Second
+	// defaultMaxHeader is the default size limit in bytes of a request header.
+	defaultMaxHeader = 64 << 10
 	// maxKeptBody is the size in bytes up to which the buffer of a request body is reused for the next request.
 	maxKeptBody = 16 << 10
 	// closeTimeout bounds the wait for idle keep-alive connections when the server is closed.
 	closeTimeout = 50 * time.Millisecond
-	anyPath      = "/*path"
+	// sendTimeout bounds the wait for responses that are being sent when the server is closed.
+	sendTimeout = time.Second
+	anyPath     = "/*path"
 )
 
 // Silences hertz's own logger, since the node logs the start and stop of its services itself.
@@ -34,8 +42,12 @@
 	hertz              *server.Hertz
 	listener           *drainableListener
 	done               chan error
+	repeatable         func(header *protocol.RequestHeader) bool
+	idleTimeout        time.Duration
+	maxHeader, maxBody int
 	keepAlivesDisabled atomic.Bool
-	openRequests       atomic.Int64
+	// openRequests is the number of requests that have been read and have no sent response.
+	openRequests atomic.Int64
 	// lastEndedAt is when the latest request ended, in Unix nanoseconds.
 	lastEndedAt atomic.Int64
 }
@@ -44,6 +56,11 @@
 type Options struct {
 	// MaxBody is the largest request body in bytes.
 	MaxBody int
+	// MaxHeader is the largest request header in bytes, zero for the default of 64 KiB.
+	MaxHeader int
+	// Repeatable reports whether a request may run beside others of its connection, and more than once. Requests that clients send
+	// before the response to the one before are then handled side by side. If nil, they are handled one after the other.
+	Repeatable func(header *protocol.RequestHeader) bool
 	// Idle is the timeout of idle keep-alive connections, zero for the default of 1 min.
 	Idle time.Duration
 	// Routes registers handlers for paths that the main handler doesn't serve, nil for none.
@@ -57,27 +74,29 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", address)
 	}
-	idle := defaultIdleTimeout
-	if options.Idle > 0 {
-		idle = options.Idle
+	s := &Server{
+		listener:    newDrainableListener(listener),
+		done:        make(chan error, 1),
+		repeatable:  options.Repeatable,
+		idleTimeout: cmp.Or(options.Idle, defaultIdleTimeout),
+		maxHeader:   cmp.Or(options.MaxHeader, defaultMaxHeader),
+		maxBody:     options.MaxBody,
+	}
+	if s.repeatable == nil {
+		s.repeatable = func(*protocol.RequestHeader) bool { return false }
 	}
-	s := &Server{listener: newDrainableListener(listener), done: make(chan error, 1)}
 	s.hertz = server.New(
 		server.WithListener(s.listener),
 		server.WithTransport(standard.NewTransporter),
-		server.WithSenseClientDisconnection(true),
-		server.WithMaxRequestBodySize(options.MaxBody),
-		server.WithIdleTimeout(idle),
-		server.WithReadTimeout(readTimeout),
+		server.WithOnAccept(withSocket),
 		server.WithRedirectTrailingSlash(false),
-		server.WithDisablePreParseMultipartForm(true),
-		server.WithDisableDefaultContentType(true),
 		server.WithDisablePrintRoute(true),
 		server.WithExitWaitTime(closeTimeout),
 		server.WithMaxKeepBodySize(maxKeptBody),
 		config.Option{F: func(o *config.Options) { o.NoDefaultServerHeader = true }},
 	)
-	s.hertz.Use(s.track)
+	s.hertz.AddProtocol(suite.HTTP1, s)
+	s.hertz.Use(s.closeAfterResponse)
 	if options.Routes != nil {
 		options.Routes(s.hertz)
 	}
@@ -99,19 +118,27 @@
 	return s.done
 }
 
-// track counts requests in progress, and closes the connection after the response once keep-alives are disabled.
-func (s *Server) track(c context.Context, ctx *app.RequestContext) {
-	s.openRequests.Add(1)
-	defer s.openRequests.Add(-1)
+// closeAfterResponse closes the connection after the response once keep-alives are disabled.
+func (s *Server) closeAfterResponse(c context.Context, ctx *app.RequestContext) {
 	ctx.Next(c)
-	s.lastEndedAt.Store(time.Now().UnixNano())
 	if s.keepAlivesDisabled.Load() {
 		ctx.Response.SetConnectionClose()
 	}
 }
 
-// Close stops the server. Requests must have been drained before.
+// beginRequest counts a request that has been read, and endRequest one whose response has been sent or dropped.
+func (s *Server) beginRequest() {
+	s.openRequests.Add(1)
+}
+
+func (s *Server) endRequest() {
+	s.lastEndedAt.Store(time.Now().UnixNano())
+	s.openRequests.Add(-1)
+}
+
+// Close stops the server. Requests must have been drained before; responses that are still being sent get sendTimeout.
 func (s *Server) Close(ctx context.Context) error {
+	s.waitForResponses(ctx)
 	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
 	defer cancel()
 	if err := s.hertz.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
@@ -121,6 +148,20 @@
 	return nil
 }
 
+func (s *Server) waitForResponses(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
+	defer cancel()
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	for s.openRequests.Load() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (s *Server) serve() {
 	s.done <- s.hertz.Run()
 }
--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -75,15 +75,15 @@
 }
 
 // read appends the next bytes of the reader, at most wanted ones.
-func (b *bodyBuffer) read(reader io.Reader, wanted int) (int, error) {
+func (b *bodyBuffer) read(reader io.Reader, wanted int) error {
 	if err := b.grow(wanted); err != nil {
-		return 0, err
+		return err
 	}
 	free := b.body[len(b.body):min(cap(b.body), len(b.body)+wanted)]
 	n, err := reader.Read(free)
 	b.body = b.body[:len(b.body)+n]
 
-	return n, err
+	return err
 }
 
 // readLength reads a body of a known length.
@@ -92,7 +92,7 @@
 		return errTooLong
 	}
 	for len(b.body) < length {
-		if _, err := b.read(reader, length-len(b.body)); err != nil {
+		if err := b.read(reader, length-len(b.body)); err != nil {
 			if errors.Is(err, io.EOF) {
 				return io.ErrUnexpectedEOF
 			}
@@ -107,8 +107,7 @@
 // readToEnd reads until the reader ends cleanly.
 func (b *bodyBuffer) readToEnd(reader io.Reader) error {
 	for {
-		_, err := b.read(reader, b.maxBytes)
-		switch {
+		switch err := b.read(reader, b.maxBytes); {
 		case err == io.EOF:
 			return nil
 		case errors.Is(err, errEndless):
