Keep what was acknowledged when the store comes back from an older copy

Cause: nothing knew Store-Era. Change: pkg/era decides what a response is worth; versions and ETags carry their era. A new era ends the poll and reads the routes anew, and nodes write their rows again within a second or two. The row of a node keeps the version of its routes and the era: after a restart, routes of the platform that may be older wait until peers have been asked, 2 s, or 10 s if newer ones were known. After a failed poll the routes are read anew, one call more. The product's own table service has no eras: its adapter says so and is not proved.

--- a/internal/entry/probe.go
+++ b/internal/entry/probe.go
@@ -10,6 +10,7 @@
 	"github.com/pistachiotack/pistachiotack/internal/peers"
 	"github.com/pistachiotack/pistachiotack/internal/relay"
 	"github.com/pistachiotack/pistachiotack/internal/trace"
+	"github.com/pistachiotack/pistachiotack/internal/waits"
 	"github.com/pistachiotack/pistachiotack/pkg/call"
 	"github.com/pistachiotack/pistachiotack/pkg/fence"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
@@ -124,7 +125,7 @@
 		case err != nil && (!p.attempt.Once || errors.Is(err, peers.ErrUnreachable)):
 			return
 		case err != nil:
-			sleep(c, p.request.policy.Progress)
+			waits.Sleep(c, p.request.policy.Progress)
 		case verdict.InProgress() && p.attempt.Once:
 		default:
 			p.verdict = &verdict
@@ -172,12 +173,3 @@
 	}
 	resp.Response.SetBody(stored.Body)
 }
-
-func sleep(c context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-c.Done():
-	}
-}
--- a/internal/gossip/contact.go
+++ b/internal/gossip/contact.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pistachiotack/pistachiotack/internal/store"
+	"github.com/pistachiotack/pistachiotack/internal/waits"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
 )
 
@@ -26,6 +27,8 @@
 	Put(ctx context.Context, key string, value []byte, etag string) (string, error)
 	Delete(ctx context.Context, key, etag string) error
 	List(ctx context.Context, prefix, after string) ([]store.Row, error)
+	// Era returns the number of times that the table has lost acknowledged rows, and a channel that is closed when it happens again.
+	Era() (number uint64, changed <-chan struct{})
 }
 
 // contact is the value of a contact row.
@@ -39,6 +42,7 @@
 func (g *Gossip) contactLoop(ctx context.Context) error {
 	interval := joinContactInterval
 	wait := time.Duration(0)
+	_, lost := g.table.Era()
 	for {
 		timer := time.NewTimer(wait)
 		select {
@@ -46,8 +50,13 @@
 			timer.Stop()
 
 			return nil
+		case <-lost:
+			// all nodes list the contacts again
+			waits.Sleep(ctx, rand.N(joinContactInterval))
 		case <-timer.C:
 		}
+		timer.Stop()
+		_, lost = g.table.Era()
 		if err := g.refreshContacts(ctx); err != nil && !errors.Is(err, context.Canceled) {
 			g.options.Log.LogAttrs(ctx, slog.LevelDebug, "could not refresh contacts", slog.String("error", err.Error()))
 		}
--- a/internal/resume/past.go
+++ b/internal/resume/past.go
@@ -24,6 +24,10 @@
 	// Demand holds the demand estimates at the time SavedAt.
 	Demand  demand.Snapshot `json:"demand"`
 	SavedAt time.Time       `json:"keptAt"`
+	// Revision is the version of the routes in force, and Era the era of the store, when the row was written; rows of earlier builds
+	// have neither.
+	Revision uint64  `json:"revision,omitempty"`
+	Era      *uint64 `json:"era,omitempty"`
 }
 
 // state is the state that is saved.
@@ -31,6 +35,9 @@
 	backend beat.Snapshot
 	demand  demand.Snapshot
 	savedAt time.Time
+	// revision is the version of the routes in force, and era the era of the table, nil if unknown.
+	revision uint64
+	era      *uint64
 }
 
 // maxRowBytes is the maximum size of a row with demand estimates, which are left out of a larger row. The platform's limit is 64 KiB.
@@ -52,6 +59,7 @@
 	text, err := json.Marshal(row{
 		ID: r.ID, Service: r.Service, Address: r.Address, StartedAt: r.StartedAt, Sequence: r.Sequence, Slots: r.Slots,
 		Left: snapshot.Left, AsOf: snapshot.AsOf, Demand: s.demand, SavedAt: s.savedAt,
+		Revision: s.revision, Era: s.era,
 	})
 
 	return text, errors.Wrap(err, "encode the node's row")
@@ -70,7 +78,7 @@
 		AsOf: r.AsOf,
 	}
 
-	return state{backend: snapshot, demand: r.Demand, savedAt: r.SavedAt}, nil
+	return state{backend: snapshot, demand: r.Demand, savedAt: r.SavedAt, revision: r.Revision, era: r.Era}, nil
 }
 
 // equivalent reports whether restoring a has the same effect as restoring b.
--- a/internal/resume/resume.go
+++ b/internal/resume/resume.go
@@ -9,7 +9,9 @@
 
 	"github.com/pistachiotack/pistachiotack/internal/demand"
 	"github.com/pistachiotack/pistachiotack/internal/kernel"
+	"github.com/pistachiotack/pistachiotack/internal/rules"
 	"github.com/pistachiotack/pistachiotack/internal/store"
+	"github.com/pistachiotack/pistachiotack/internal/waits"
 	"github.com/pistachiotack/pistachiotack/pkg/beat"
 	"github.com/pistachiotack/pistachiotack/pkg/routes"
 )
@@ -39,6 +41,8 @@
 type Table interface {
 	Put(ctx context.Context, key string, value []byte, etag string) (string, error)
 	List(ctx context.Context, prefix, after string) ([]store.Row, error)
+	// Era returns the number of times that the table has lost acknowledged rows, and a channel that is closed when it happens again.
+	Era() (number uint64, changed <-chan struct{})
 }
 
 // Guard tracks the state of the local backend server.
@@ -59,9 +63,14 @@
 	Restore(now time.Time, memory demand.Snapshot, at time.Time)
 }
 
-// Holder provides the routes in force, nil until they have been loaded.
+// Holder holds the routes in force.
 type Holder interface {
+	// Table returns nil until the routes have been loaded.
 	Table() *routes.Table
+	// Revision returns the version of the routes in force, zero for none.
+	Revision() uint64
+	// Restore sets what is known of the routes that were in force before the restart.
+	Restore(past rules.Past)
 }
 
 // Resume is the kernel service; Persist is safe for concurrent use.
@@ -78,6 +87,8 @@
 
 	mu    sync.Mutex
 	saved state
+	// lost is closed when the table has lost the saved row, nil while none is saved.
+	lost <-chan struct{}
 	// written is closed and replaced at each write.
 	written chan struct{}
 }
@@ -123,7 +134,9 @@
 
 // restore loads the node's row and restores the state from it.
 func (r *Resume) restore(ctx context.Context) {
+	_, lost := r.table.Era()
 	saved, err := r.load(ctx)
+	r.holder.Restore(r.pastRoutes(saved))
 	if err != nil {
 		r.log.LogAttrs(ctx, slog.LevelWarn, "saved state of the backend server not loaded", slog.String("error", err.Error()))
 
@@ -133,7 +146,9 @@
 	if snapshot.Heartbeat.ID == "" {
 		return
 	}
-	r.setSaved(saved)
+	if saved.era == nil || *saved.era == r.era() {
+		r.setSaved(saved, lost)
+	}
 	r.demand.Restore(time.Now(), saved.demand, saved.savedAt)
 	alive, reason := false, "left"
 	if !snapshot.Left {
@@ -144,6 +159,18 @@
 		slog.Time("at", snapshot.AsOf), slog.Bool("resumed", ready), slog.String("reason", reason))
 }
 
+// pastRoutes returns what the saved state tells about the routes in force before the restart.
+func (r *Resume) pastRoutes(saved state) rules.Past {
+	return rules.Past{Revision: saved.revision, RowsLost: saved.era != nil && *saved.era != r.era()}
+}
+
+// era returns the era of the table as of its latest response.
+func (r *Resume) era() uint64 {
+	number, _ := r.table.Era()
+
+	return number
+}
+
 // load returns the node's saved state, the zero state if there is none.
 func (r *Resume) load(ctx context.Context) (state, error) {
 	rows, err := r.table.List(ctx, r.key(), "")
@@ -233,7 +260,28 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 
-	return snapshot, !found || equivalent(snapshot, r.saved.backend), r.written
+	return snapshot, !found || r.rowKept() && equivalent(snapshot, r.saved.backend), r.written
+}
+
+// rowKept reports whether the table still has the saved row. The mutex must be held.
+func (r *Resume) rowKept() bool {
+	select {
+	case <-r.lost:
+		return false
+	default:
+		return true
+	}
+}
+
+// lostRow returns a channel that is closed when the table has lost the saved row, nil if it has already.
+func (r *Resume) lostRow() <-chan struct{} {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.rowKept() {
+		return nil
+	}
+
+	return r.lost
 }
 
 // run saves changes until the context ends.
@@ -248,6 +296,9 @@
 		select {
 		case <-ctx.Done():
 		case <-r.changed:
+		case <-r.lostRow():
+			// all nodes write their rows again
+			waits.Sleep(ctx, rand.N(retryInterval))
 		case <-timer.C:
 			demandDue = true
 		}
@@ -270,7 +321,8 @@
 	if snapshot.Heartbeat.ID == "" {
 		return nil
 	}
-	next := state{backend: snapshot, demand: r.demand.Snapshot(now), savedAt: now}
+	number, lost := r.table.Era()
+	next := state{backend: snapshot, demand: r.demand.Snapshot(now), savedAt: now, revision: r.holder.Revision(), era: &number}
 	if saved && (!demandDue || r.demandUnchanged(next)) {
 		return nil
 	}
@@ -281,7 +333,7 @@
 	if _, err = r.table.Put(ctx, r.key(), text, ""); err != nil {
 		return err
 	}
-	r.setSaved(next)
+	r.setSaved(next, lost)
 
 	return nil
 }
@@ -294,11 +346,11 @@
 	return next.demand.SimilarTo(r.saved.demand)
 }
 
-// setSaved records the state in the row and wakes the callers of Persist.
-func (r *Resume) setSaved(saved state) {
+// setSaved records the state in the row, which the table keeps until lost is closed, and wakes the callers of Persist.
+func (r *Resume) setSaved(saved state, lost <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.saved = saved
+	r.saved, r.lost = saved, lost
 	close(r.written)
 	r.written = make(chan struct{})
 }
--- a/internal/resume/resume_test.go
+++ b/internal/resume/resume_test.go
@@ -13,6 +13,7 @@
 	"github.com/pistachiotack/pistachiotack/internal/demand"
 	"github.com/pistachiotack/pistachiotack/internal/kernel"
 	"github.com/pistachiotack/pistachiotack/internal/resume"
+	"github.com/pistachiotack/pistachiotack/internal/rules"
 	"github.com/pistachiotack/pistachiotack/internal/store"
 	"github.com/pistachiotack/pistachiotack/pkg/beat"
 	"github.com/pistachiotack/pistachiotack/pkg/routes"
@@ -42,6 +43,8 @@
 	calls  int
 }
 
+func (*fakeTable) Era() (uint64, <-chan struct{}) { return 0, nil }
+
 func (s *fakeTable) setUnavailable(unavailable bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -139,6 +142,10 @@
 
 func (h *fakeHolder) Table() *routes.Table { return h.routes }
 
+func (*fakeHolder) Revision() uint64 { return 1 }
+
+func (*fakeHolder) Restore(rules.Past) {}
+
 // node is one run of a node, from its start to its stop.
 type node struct {
 	guard  *fakeGuard
--- a/internal/rules/peers.go
+++ b/internal/rules/peers.go
@@ -47,6 +47,7 @@
 			r.fetch(ctx, h)
 		case <-ticker.C:
 			r.fetch(ctx, r.newestPeer())
+			r.applyPending(ctx)
 		}
 	}
 }
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -12,6 +12,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/pistachiotack/pistachiotack/internal/kernel"
+	"github.com/pistachiotack/pistachiotack/internal/waits"
+	"github.com/pistachiotack/pistachiotack/pkg/era"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
 	"github.com/pistachiotack/pistachiotack/pkg/routes"
 )
@@ -45,9 +47,9 @@
 // Feed provides the versions of the route table that the operators have published.
 type Feed interface {
 	// Newest returns the newest manifest, nil if there is none, and the cursor after it.
-	Newest(ctx context.Context) (Manifest, uint64, error)
+	Newest(ctx context.Context) (Manifest, era.Version, error)
 	// Next waits for a manifest after the cursor, nil if none arrives in time. The error may wrap ErrCursorExpired.
-	Next(ctx context.Context, cursor uint64, wait time.Duration) (Manifest, uint64, error)
+	Next(ctx context.Context, cursor era.Version, wait time.Duration) (Manifest, era.Version, error)
 	// Decode returns the route table that a manifest encodes.
 	Decode(manifest Manifest) (*routes.Table, error)
 }
@@ -73,9 +75,18 @@
 	loops   *errgroup.Group
 	hints   chan hint
 
+	// restored is closed once Restore has been called.
+	restored     chan struct{}
+	restoredOnce sync.Once
+
 	mu       sync.Mutex
 	manifest Manifest
-	table    atomic.Pointer[routes.Table]
+	past     Past
+	// pending is a manifest of the platform that may be older than what this node had in force before its restart; it is put in
+	// force at pendingUntil unless a newer one is found.
+	pending      Manifest
+	pendingUntil time.Time
+	table        atomic.Pointer[routes.Table]
 }
 
 // hint is the control address of a node and the newer version that it has.
@@ -86,7 +97,7 @@
 
 // New returns a service without a route table.
 func New(feed Feed, log *slog.Logger) *Rules {
-	return &Rules{feed: feed, log: log, hints: make(chan hint, maxHints)}
+	return &Rules{feed: feed, log: log, hints: make(chan hint, maxHints), restored: make(chan struct{})}
 }
 
 // String returns the name of the service.
@@ -150,28 +161,31 @@
 
 // watchFeed polls the change feed of the platform until the context ends.
 func (r *Rules) watchFeed(ctx context.Context) error {
-	cursor, haveCursor := uint64(0), false
+	cursor, haveCursor := era.Version{}, false
 	failures := 0
 	for ctx.Err() == nil {
 		manifest, next, err := r.poll(ctx, cursor, haveCursor)
 		switch {
 		case err == nil:
+			r.logReturn(ctx, failures)
 			cursor, haveCursor, failures = next, true, 0
-			r.apply(ctx, manifest, "platform")
+			r.applyFromPlatform(ctx, manifest)
 		case errors.Is(err, ErrCursorExpired):
 			haveCursor = false
 		default:
+			// the platform may come back from an older copy, in which the cursor means something else
+			haveCursor = false
 			failures++
 			r.logOutage(ctx, failures, err)
 		}
-		sleep(ctx, r.pollDelay(failures))
+		waits.Sleep(ctx, r.pollDelay(failures))
 	}
 
 	return nil
 }
 
 // poll reads the newest manifest if there is no valid cursor, and otherwise waits for a change after it.
-func (r *Rules) poll(ctx context.Context, cursor uint64, haveCursor bool) (Manifest, uint64, error) {
+func (r *Rules) poll(ctx context.Context, cursor era.Version, haveCursor bool) (Manifest, era.Version, error) {
 	if !haveCursor {
 		return r.feed.Newest(ctx)
 	}
@@ -197,6 +211,13 @@
 	r.log.LogAttrs(ctx, slog.LevelWarn, "platform lost", slog.String("error", err.Error()))
 }
 
+// logReturn logs that the platform answers again after an outage.
+func (r *Rules) logReturn(ctx context.Context, failures int) {
+	if failures > 0 {
+		r.log.LogAttrs(ctx, slog.LevelInfo, "platform back", slog.Int("failures", failures))
+	}
+}
+
 // apply puts the route table of a manifest in force if it is newer than the current one.
 func (r *Rules) apply(ctx context.Context, manifest Manifest, source string) {
 	if manifest == nil {
@@ -222,12 +243,3 @@
 		slog.String("source", source),
 	)
 }
-
-func sleep(ctx context.Context, duration time.Duration) {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -141,6 +141,11 @@
 	return err
 }
 
+// Era returns a channel that is never closed: this table service loses no row that it has acknowledged.
+func (*Store) Era() (number uint64, changed <-chan struct{}) {
+	return 0, nil
+}
+
 // List returns up to 1000 rows whose keys have the prefix and are greater than after, sorted by key.
 func (s *Store) List(ctx context.Context, prefix, after string) ([]Row, error) {
 	query := url.Values{"prefix": {prefix}, "after": {after}}
--- /dev/null
+++ b/internal/waits/doc.go
@@ -0,0 +1,2 @@
+// Package waits lets goroutines pause until their context ends.
+package waits
