Survive a panic in a control call, and bound what a peer may send

Cause: net/rpc runs methods without recovery, so a panic on one malformed message ended the process; a message could announce 1 GB, and another program at a peer's address could send without end until the timeout. Change: calls are served through ServeRequest with a codec that lets the next one be read while a method runs; a panic is logged and ends its connection.

--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -19,7 +19,8 @@
 
 const waitTimeout = 10 * time.Second
 
-// Echo replies with the text it receives. "fail" makes it return an error, "hold" makes it wait for release.
+// Echo replies with the text it receives. "fail" makes it return an error, "panic" makes it panic, "hold" makes
+// it wait for release.
 type Echo struct {
 	release chan struct{}
 }
@@ -28,6 +29,8 @@
 	switch text {
 	case "fail":
 		return errors.New("requested failure")
+	case "panic":
+		panic("requested panic")
 	case "hold":
 		<-e.release
 	}
--- a/internal/peers/pool.go
+++ b/internal/peers/pool.go
@@ -157,7 +157,8 @@
 		return
 	}
 	counting := &conn{Conn: raw, counters: p.counters, writeTimeout: p.options.Timeout}
-	c.client = rpc.NewClient(counting)
+	c.responses = newBoundedReader(counting)
+	c.client = rpc.NewClient(boundedConn{Conn: counting, responses: c.responses})
 }
 
 // release removes the call from the calls in flight. An unhealthy connection accepts no new calls.
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/rpc"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -14,6 +15,8 @@
 // acceptRetryDelay is the delay after a failed accept, which prevents a busy loop when file descriptors run out.
 const acceptRetryDelay = 50 * time.Millisecond
 
+var errPanic = errors.New("panic while a control call was handled")
+
 // server accepts connections from peers and serves their calls.
 type server struct {
 	options  Options
@@ -72,8 +75,53 @@
 	go func() {
 		defer s.connsDone.Done()
 		defer s.untrack(counting)
-		s.rpc.ServeConn(counting)
+		s.serveCalls(newCodec(counting))
+	}()
+}
+
+// serveCalls reads calls one after the other and runs them side by side, until the connection ends.
+func (s *server) serveCalls(codec *codec) {
+	var running sync.WaitGroup
+	defer running.Wait()
+	defer func() { _ = codec.Close() }()
+	for {
+		ended := make(chan error, 1)
+		running.Add(1)
+		go func() {
+			defer running.Done()
+			ended <- s.serveCall(codec)
+		}()
+		select {
+		case <-codec.read:
+			continue
+		case err := <-ended:
+			if err == nil {
+				<-codec.read
+
+				continue
+			}
+		}
+		select {
+		case <-codec.read:
+			// the call was refused, but it has been read to its end
+		default:
+			return
+		}
+	}
+}
+
+// serveCall reads one call and runs it. A panic in its method ends the connection only.
+func (s *server) serveCall(codec *codec) (err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			s.options.Log.LogAttrs(context.Background(), slog.LevelError, "panic while a control call was handled",
+				slog.Any("panic", cause), slog.String("stack", string(debug.Stack())))
+			_ = codec.Close()
+			err = errPanic
+		}
 	}()
+
+	return s.rpc.ServeRequest(codec)
 }
 
 // track registers the connection for stop. It returns false if the server has stopped.
