Tell a late copy of a response from the next one on the product's own path

Cause: a server may send a second copy of an answer late. The users' platform names the request in each response, and guard matches it; the product's own path matched nothing, so a copy that came after the next request had been sent was taken as its answer (a request whose connection shows the copy before is not sent on it, as before). Change: a response with another Pistachiotack-Operation is skipped.

--- a/internal/exec/answer.go
+++ b/internal/exec/answer.go
@@ -36,6 +36,16 @@
 	return out
 }
 
+// ownsResponse reports whether a response of the backend server belongs to this call; one that names no operation is assumed to.
+func (x *execution) ownsResponse(header *protocol.ResponseHeader) bool {
+	return !namesOperation(header) || string(header.Peek(wire.HeaderOperation)) == string(x.envelope.Op)
+}
+
+// namesOperation reports whether a response names the operation that it belongs to.
+func namesOperation(header *protocol.ResponseHeader) bool {
+	return len(header.Peek(wire.HeaderOperation)) > 0
+}
+
 // sendBuffered sends a buffered response to the peer, or returns a refusal if the backend server refused the call.
 func (x *execution) sendBuffered(response *relay.Response, opScope *scope.Scope) (Completion, *call.Refusal) {
 	status := response.Response.StatusCode()
--- a/internal/exec/handle.go
+++ b/internal/exec/handle.go
@@ -139,6 +139,8 @@
 	err := x.exec.client.Do(c, x.exec.options.Backend, x.backendRequest(), response, relay.Limits{
 		MaxBodyBytes: int(x.policy.BufferAnswer),
 		Stream:       x.policy.Stream,
+		Matches:      x.ownsResponse,
+		Named:        namesOperation,
 	})
 	x.exec.recordEnd(err == nil, x.policy.Kind, time.Since(sentAt))
 	x.unspent = x.exec.endOperation(x.envelope.Op, opScope)
--- a/internal/fake/serve.go
+++ b/internal/fake/serve.go
@@ -49,6 +49,9 @@
 			t.AfterDrain++
 		}
 	})
+	if v.operation != "" {
+		c.Header(wire.HeaderOperation, v.operation)
+	}
 	ctx, cancel := deadline(ctx, c)
 	if route.Archive {
 		s.archive(ctx, cancel, c, v)
--- a/internal/guard/run.go
+++ b/internal/guard/run.go
@@ -161,6 +161,7 @@
 		DialTimeout:         dialTimeout,
 		AllowCloseDelimited: true,
 		Matches:             x.ownsResponse,
+		Named:               x.namesRequest,
 	})
 	if err != nil {
 		return x.reportFailure(err)
@@ -188,6 +189,11 @@
 	return info.RequestID == "" || info.RequestID == x.id
 }
 
+// namesRequest reports whether a response carries the ID of its request.
+func (x *execution) namesRequest(header *protocol.ResponseHeader) bool {
+	return x.guard.options.Dialect.ParseResponse(header.StatusCode(), header).RequestID != ""
+}
+
 // reportFailure returns the report on an attempt that got no complete response.
 func (x *execution) reportFailure(err error) wire.Report {
 	outcome, reason := relay.OutcomeOf(err)
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -116,7 +116,6 @@
 		return
 	}
 	complete := s.ended || (s.Length >= 0 && s.read == s.Length)
-	response := &s.attempt.response.Response
-	s.attempt.release(complete && s.attempt.conn.Len() == 0 && !response.ConnectionClose())
+	s.attempt.release(complete && s.attempt.conn.Len() == 0 && s.attempt.reusable())
 	s.attempt = nil
 }
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -75,6 +75,9 @@
 	// Matches reports whether a response belongs to the request; responses that do not are skipped. If nil, every response belongs
 	// to it.
 	Matches func(header *protocol.ResponseHeader) bool
+	// Named reports whether a response names its request. The connection of one that doesn't is not reused, since a late copy of the
+	// response could not be told from the next one. If nil, connections are reused regardless.
+	Named func(header *protocol.ResponseHeader) bool
 }
 
 const (
@@ -350,10 +353,10 @@
 	if err != nil {
 		return err
 	}
-	if trailing && a.limits.Matches == nil {
+	if trailing && (a.limits.Matches == nil || !a.named()) {
 		return errTrailingBytes
 	}
-	a.release(!trailing && !a.skippedResponse && !response.ConnectionClose())
+	a.release(!trailing && a.reusable())
 
 	return nil
 }
@@ -371,6 +374,16 @@
 	return nil
 }
 
+// named reports whether the response names its request, as far as servers have to.
+func (a *attempt) named() bool {
+	return a.limits.Named == nil || a.limits.Named(&a.response.Response.Header)
+}
+
+// reusable reports whether the connection may carry another request after the response.
+func (a *attempt) reusable() bool {
+	return a.named() && !a.skippedResponse && !a.response.Response.ConnectionClose()
+}
+
 // release stops watching the context and returns the connection to the pool if it may be reused.
 func (a *attempt) release(reusable bool) {
 	if !a.stopWatching() || !reusable {
--- a/internal/relay/client_test.go
+++ b/internal/relay/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -229,3 +230,37 @@
 		})
 	}
 }
+
+// A server may send a second copy of a response late, when the connection is in use again: after the next request was sent.
+func TestLateCopyOfAResponseNeverAnswersTheNextRequest(t *testing.T) {
+	named := func(header *protocol.ResponseHeader) bool { return len(header.Peek("X-Id")) > 0 }
+	for name, test := range map[string]struct {
+		head     string
+		accepted int64
+	}{
+		"named":   {head: "HTTP/1.1 200 OK\r\nX-Id: %s\r\nContent-Length: 1\r\n\r\n%s", accepted: 1},
+		"unnamed": {head: "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n%[2]s", accepted: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			answer := func(id string) string { return fmt.Sprintf(test.head, id, id) }
+			server := newScriptedServer(t, answer("1"), answer("1")+answer("2"))
+			client, closeClient := relay.NewClient(time.Minute)
+			t.Cleanup(closeClient)
+			for i, id := range []string{"1", "2"} {
+				response, err := get(t.Context(), client, server.address, relay.Limits{
+					MaxBodyBytes: maxBodyBytes,
+					Matches:      func(header *protocol.ResponseHeader) bool { return !named(header) || string(header.Peek("X-Id")) == id },
+					Named:        named,
+				})
+				require.NoError(t, err)
+				// the unnamed server begins its script anew on the second connection
+				expected := id
+				if test.accepted == 2 {
+					expected = "1"
+				}
+				require.Equal(t, expected, string(response.Response.Body()), "request %d", i)
+			}
+			require.Equal(t, test.accepted, server.accepted.Load())
+		})
+	}
+}
