--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -83,15 +83,15 @@
 
 // serve reads requests until the connection ends, and returns after all handlers have returned.
 func (c *connection) serve(ctx context.Context) (err error) {
-	ctx, c.cancel = context.WithCancel(ctx)
-	defer c.cancel()
-	defer c.end()
 	defer func() {
 		if cause := recover(); cause != nil {
 			c.logPanic(ctx, cause)
 			err = hertzerrors.ErrShortConnection
 		}
 	}()
+	ctx, c.cancel = context.WithCancel(ctx)
+	defer c.cancel()
+	defer c.end()
 	for c.waitForRequest() {
 		if err := c.acceptRequest(ctx); err != nil {
 			break
