Keep the weight of whole call trees while many executions fail

With one to two of six servers of alarm left the level falls to 0, yet at second 42 36 of 44 client requests that hal-a admits need nothing below by its estimates: executions that fail at their first call make one of their calls, the estimates fall below their error, the trees look light, more of them are admitted, and more fail. Beside it, a backend server's 500 counted as its own fault where its call had come back as 500 from further below. Change: pkg/fanout counts failed calls; while more than 5% fail, the significant estimates from before are the lower bound, and a route gets no first estimate from such windows. internal/front reports calls that come back as 5xx, too.

--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -201,6 +201,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.failedAt = now
+	d.estimator.CountFailure()
 }
 
 // FailedRecently reports whether a call by the local backend server failed recently enough to explain an error response of its
--- a/internal/front/handle.go
+++ b/internal/front/handle.go
@@ -180,6 +180,9 @@
 func (r *request) respond(response *relay.Response) {
 	wire.ForwardResponse(&r.http.Response, &response.Response)
 	r.http.Response.Header.Set(headerKeepAlive, keepAlive)
+	if r.origin == fanout.OriginServers && response.Response.StatusCode() >= statusServerError {
+		r.front.demand.ObserveFailure(time.Now())
+	}
 	latency := time.Since(r.arrivedAt)
 	r.front.observeLatency(r.route.Name, latency)
 	r.front.responseLatency.WithTag(r.route.Name).RecordDuration(latency)
--- a/pkg/fanout/fanout_test.go
+++ b/pkg/fanout/fanout_test.go
@@ -49,6 +49,65 @@
 	}
 }
 
+// In an overload most executions fail at their first call and make one of four. Their call trees must not look light, or still more of
+// them would be admitted.
+func TestEstimatorKeepsTheCallsOfWholeExecutionsWhileTheyFail(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	e := fanout.NewEstimator()
+	for range 120 {
+		addWindow(e, rng, 40+rng.IntN(20), 2+rng.IntN(6), 4)
+		e.CloseWindow()
+	}
+	for range 240 {
+		executions := 40 + rng.IntN(20)
+		addWindow(e, rng, executions, 2+rng.IntN(6), 1.3)
+		for range executions * 8 / 10 {
+			e.CountFailure()
+		}
+		e.CloseWindow()
+		require.InDelta(t, 4.0, e.Callees("index")["calibrate"], 0.5)
+	}
+	for range 240 {
+		addWindow(e, rng, 40+rng.IntN(20), 2+rng.IntN(6), 2)
+		e.CloseWindow()
+	}
+	require.InDelta(t, 2.0, e.Calls("index", "calibrate"), 0.3, "whole executions are learned from again")
+}
+
+// A few calls fail on every day.
+func TestEstimatorFollowsChangedFanOutWhileFewCallsFail(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	e := fanout.NewEstimator()
+	for _, calls := range []float64{4, 1} {
+		for range 240 {
+			addWindow(e, rng, 40+rng.IntN(20), 2+rng.IntN(6), calls)
+			if rng.IntN(3) == 0 {
+				e.CountFailure()
+			}
+			e.CloseWindow()
+		}
+		require.InDelta(t, calls, e.Calls("index", "calibrate"), 0.3)
+	}
+}
+
+// Executions that fail may make more calls than whole ones before, after operators have changed what they call.
+func TestEstimatorLearnsMoreCallsWhileExecutionsFail(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 2))
+	e := fanout.NewEstimator()
+	for _, calls := range []float64{1, 4} {
+		for range 120 {
+			addWindow(e, rng, 40+rng.IntN(20), 2+rng.IntN(6), calls)
+			if calls > 1 {
+				for range 20 {
+					e.CountFailure()
+				}
+			}
+			e.CloseWindow()
+		}
+	}
+	require.InDelta(t, 4.0, e.Calls("index", "calibrate"), 0.8)
+}
+
 func TestEstimatorResetsWhenOperatorsReplaceManyRoutes(t *testing.T) {
 	e := fanout.NewEstimator()
 	for i := range 100 {
--- a/pkg/fanout/learn.go
+++ b/pkg/fanout/learn.go
@@ -22,6 +22,11 @@
 	errorVarianceWeight = 0.1
 	// minWindows is the number of windows that a route must have been executed in before its estimates are used.
 	minWindows = 4
+	// maxFailedShare is the share of failed calls above which windows say little about whole executions: one that fails ends before it
+	// has made all its calls.
+	maxFailedShare = 0.05
+	// failedShareWeight is the weight of the latest window in the share of failed calls.
+	failedShareWeight = 0.5
 	// maxRoutes bounds the executed routes that are tracked.
 	maxRoutes = 16
 )
@@ -42,8 +47,14 @@
 	coefficients map[string][]float64
 	// errorVariance holds for each called route the variance of the estimation error of its calls in a window.
 	errorVariance map[string]float64
-	// windows holds for each executed route the number of windows in which it was executed.
+	// windows holds for each executed route the number of windows in which it was executed while few calls failed.
 	windows []int
+	// failures is the number of failed calls in the current window, and failedShare the moving average of their share.
+	failures    float64
+	failedShare float64
+	// whole holds the significant coefficients from before most executions began to fail, nil while few do. Estimates are at least as
+	// high until they stop failing.
+	whole map[string][]float64
 }
 
 // NewEstimator returns an estimator without data.
@@ -87,6 +98,7 @@
 	clear(e.coefficients)
 	clear(e.calls)
 	clear(e.errorVariance)
+	e.whole = nil
 }
 
 // CountCall counts one call that the backend server made to a route in the current window.
@@ -97,15 +109,33 @@
 	}
 }
 
+// CountFailure counts a call by the backend server that failed in the current window.
+func (e *Estimator) CountFailure() {
+	e.failures++
+}
+
 // Calls returns the estimated number of calls to one route per execution of another.
 func (e *Estimator) Calls(executed, called string) float64 {
 	index := slices.Index(e.routes, executed)
-	coefficients := e.coefficients[called]
-	if index < 0 || index >= len(coefficients) {
+	if index < 0 {
+		return 0
+	}
+
+	return min(max(at(e.coefficients[called], index), e.wholeCalls(called, index), 0), maxEstimate)
+}
+
+// wholeCalls returns the calls of whole executions from before most of them began to fail, zero if few fail.
+func (e *Estimator) wholeCalls(called string, index int) float64 {
+	return at(e.whole[called], index)
+}
+
+// at returns the element at the index, zero if there is none.
+func at(values []float64, index int) float64 {
+	if index >= len(values) {
 		return 0
 	}
 
-	return min(max(coefficients[index], 0), maxEstimate)
+	return values[index]
 }
 
 // Ready reports whether a route was executed in enough windows for its estimates to be used.
@@ -124,9 +154,7 @@
 		return callees
 	}
 	for called := range e.coefficients {
-		calls := e.Calls(executed, called)
-		deviation := math.Sqrt(e.errorVariance[called] * e.covariance[index][index])
-		if calls >= minEstimate && calls >= minSignificance*deviation {
+		if calls := e.Calls(executed, called); e.significant(called, index) || e.wholeCalls(called, index) > 0 {
 			callees[called] = calls
 		}
 	}
@@ -134,8 +162,18 @@
 	return callees
 }
 
-// CloseWindow updates the estimates with the counts of the current window and begins a new one.
+// significant reports whether the estimate for an executed and a called route differs from zero by more than its error.
+func (e *Estimator) significant(called string, index int) bool {
+	calls := at(e.coefficients[called], index)
+	deviation := math.Sqrt(e.errorVariance[called] * e.covariance[index][index])
+
+	return calls >= minEstimate && calls >= minSignificance*deviation
+}
+
+// CloseWindow updates the estimates with the counts of the current window and begins a new one. Executions that fail make fewer calls
+// than whole ones: while many do, the estimates from before are kept as the lower bound, or their call trees would look light.
 func (e *Estimator) CloseWindow() {
+	e.updateFailedShare()
 	gain, squaredNorm := e.gain()
 	if squaredNorm > 0 {
 		for called, coefficients := range e.coefficients {
@@ -150,6 +188,51 @@
 	}
 	clear(e.executions)
 	clear(e.calls)
+	e.failures = 0
+}
+
+// updateFailedShare adds the current window to the share of failed calls, and keeps or restores the estimates of whole executions when
+// the share passes maxFailedShare.
+func (e *Estimator) updateFailedShare() {
+	calls := 0.0
+	for _, count := range e.calls {
+		calls += count
+	}
+	if calls+e.failures == 0 {
+		return
+	}
+	e.failedShare += failedShareWeight * (e.failures/max(calls, e.failures) - e.failedShare)
+	switch failing := e.failedShare > maxFailedShare; {
+	case failing && e.whole == nil:
+		e.keepWhole()
+	case !failing && e.whole != nil:
+		e.restoreWhole()
+	}
+}
+
+// keepWhole keeps the significant estimates.
+func (e *Estimator) keepWhole() {
+	e.whole = map[string][]float64{}
+	for called, coefficients := range e.coefficients {
+		kept := make([]float64, len(coefficients))
+		for i, calls := range coefficients {
+			if e.significant(called, i) {
+				kept[i] = calls
+			}
+		}
+		e.whole[called] = kept
+	}
+}
+
+// restoreWhole raises the estimates to those that were kept.
+func (e *Estimator) restoreWhole() {
+	for called, kept := range e.whole {
+		coefficients := e.coefficients[called]
+		for i, calls := range kept {
+			coefficients[i] = max(coefficients[i], calls)
+		}
+	}
+	e.whole = nil
 }
 
 // gain returns the gain vector of the least squares update and the squared norm of the window's executions.
@@ -160,7 +243,7 @@
 		gain[i] = dot(e.covariance[i], e.executions)
 		scale += gain[i] * e.executions[i]
 		squaredNorm += e.executions[i] * e.executions[i]
-		if e.executions[i] > 0 {
+		if e.executions[i] > 0 && e.whole == nil {
 			e.windows[i]++
 		}
 	}
