Use the calls of a route after 20 whole executions only

Change: a route is ready after 20 executions in windows in which few calls fail, beside the four windows. Tried and reverted: half of the requests of middle priority with few calls kept down to a level of 0.04.

--- a/pkg/fanout/learn.go
+++ b/pkg/fanout/learn.go
@@ -20,8 +20,10 @@
 	minSignificance = 3.0
 	// errorVarianceWeight is the weight of the latest window in the variance of the estimation error.
 	errorVarianceWeight = 0.1
-	// minWindows is the number of windows that a route must have been executed in before its estimates are used.
-	minWindows = 4
+	// minWindows is the number of windows that a route must have been executed in, and minExecutions the number of its executions in
+	// them, before its estimates are used.
+	minWindows    = 4
+	minExecutions = 20
 	// maxFailedShare is the share of failed calls above which windows say little about whole executions: one that fails ends before it
 	// has made all its calls.
 	maxFailedShare = 0.05
@@ -49,6 +51,8 @@
 	errorVariance map[string]float64
 	// windows holds for each executed route the number of windows in which it was executed while few calls failed.
 	windows []int
+	// executed holds for each executed route the number of executions in these windows.
+	executed []float64
 	// failures is the number of failed calls in the current window, and failedShare the moving average of their share.
 	failures    float64
 	failedShare float64
@@ -79,6 +83,7 @@
 	e.routes = append(e.routes, route)
 	e.executions = append(e.executions, 0)
 	e.windows = append(e.windows, 0)
+	e.executed = append(e.executed, 0)
 	size := len(e.routes)
 	for i := range e.covariance {
 		e.covariance[i] = append(e.covariance[i], 0)
@@ -94,7 +99,7 @@
 
 // reset discards all data. It is called when there are more than maxRoutes routes, for example after operators replaced many of them.
 func (e *Estimator) reset() {
-	e.routes, e.executions, e.windows, e.covariance = nil, nil, nil, nil
+	e.routes, e.executions, e.windows, e.executed, e.covariance = nil, nil, nil, nil, nil
 	clear(e.coefficients)
 	clear(e.calls)
 	clear(e.errorVariance)
@@ -142,7 +147,7 @@
 func (e *Estimator) Ready(executed string) bool {
 	index := slices.Index(e.routes, executed)
 
-	return index >= 0 && e.windows[index] >= minWindows
+	return index >= 0 && e.windows[index] >= minWindows && e.executed[index] >= minExecutions
 }
 
 // Callees returns the routes that an executed route calls, with the calls per execution. Estimates that do not differ significantly
@@ -245,6 +250,7 @@
 		squaredNorm += e.executions[i] * e.executions[i]
 		if e.executions[i] > 0 && e.whole == nil {
 			e.windows[i]++
+			e.executed[i] += e.executions[i]
 		}
 	}
 	for i := range gain {
