Bound exploring requests and saved rows for the whole fleet

Cause: each node admits a refused request of a route every 2 s to learn its calls, and checks every 6 s whether to save its row: both grow with the fleet. At 96 nodes and a level of 0 explored call trees of eight calls took a fifth of what two servers of alarm could carry; at 1,200 nodes they would take all of it, and rows 200 writes a second, the whole rate of one part of the store. Change: pkg/pace gives the interval of a node from the number of nodes: exploring requests of a route are 0.1 s apart in the fleet, saves 0.125 s.

--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -9,6 +9,8 @@
 	"github.com/pistachiotack/pistachiotack/internal/kernel"
 	"github.com/pistachiotack/pistachiotack/internal/wire"
 	"github.com/pistachiotack/pistachiotack/pkg/fanout"
+	"github.com/pistachiotack/pistachiotack/pkg/member"
+	"github.com/pistachiotack/pistachiotack/pkg/pace"
 	"github.com/pistachiotack/pistachiotack/pkg/shed"
 )
 
@@ -22,9 +24,11 @@
 	windowLength = 250 * time.Millisecond
 	// maxOtherLevels is the number of most loaded services that a report includes beside those that the route needs.
 	maxOtherLevels = 2
-	// exploreInterval is how long after the last update of a route's needs a request of the route may be admitted despite overload.
-	// Wrong needs that refuse all requests of a route would otherwise never be corrected, because no responses would come.
+	// exploreInterval is the shortest time after the last update of a route's needs at which a request of the route may be admitted
+	// despite overload. Wrong needs that refuse all requests of a route would otherwise never be corrected, because no responses would
+	// come. In the whole fleet such requests of one route are exploreApart apart, so that they don't take what is left of a service.
 	exploreInterval = 2 * time.Second
+	exploreApart    = 100 * time.Millisecond
 	// failureWindow is how long a failed call by the backend server may explain an error response of the backend server.
 	failureWindow = time.Second
 )
@@ -35,10 +39,16 @@
 	Load() float64
 }
 
+// Members lists the nodes of the fleet.
+type Members interface {
+	All() []member.Entry
+}
+
 // Demand is the kernel service that estimates call trees and admits requests. It is safe for concurrent use.
 type Demand struct {
 	service string
 	loader  Loader
+	members Members
 	cancel  context.CancelFunc
 	stopped chan struct{}
 
@@ -94,6 +104,9 @@
 	if d.loader, err = kernel.Find[Loader](k, "guard"); err != nil {
 		return nil, err
 	}
+	if d.members, err = kernel.Find[Members](k, "gossip"); err != nil {
+		return nil, err
+	}
 	ctx, d.cancel = context.WithCancel(ctx)
 	done := make(chan error, 1)
 	go d.run(ctx, done)
@@ -214,8 +227,7 @@
 }
 
 // Decide admits a request if the services that its call tree needs have spare capacity. Without known needs, it counts every
-// service as needed. It admits one request per exploreInterval of a route that would be refused, to update the needs of the
-// route.
+// service as needed. From time to time it admits a request of a route that would be refused, to update the needs of the route.
 func (d *Demand) Decide(now time.Time, route, service string, request shed.Request) shed.Decision {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -245,7 +257,7 @@
 	if !found {
 		updatedAt = d.startedAt
 	}
-	if now.Sub(updatedAt) < exploreInterval {
+	if now.Sub(updatedAt) < pace.Interval(exploreInterval, d.nodes(), exploreApart) {
 		return false
 	}
 	d.needsUpdatedAt[key] = now
@@ -253,6 +265,15 @@
 	return true
 }
 
+// nodes returns the number of nodes in the fleet, zero before the start.
+func (d *Demand) nodes() int {
+	if d.members == nil {
+		return 0
+	}
+
+	return len(d.members.All())
+}
+
 // callsPerService returns the calls that one request on the route causes to each service, itself included; the caller holds the
 // lock.
 func (d *Demand) callsPerService(route, service string) map[string]float64 {
--- a/internal/resume/resume.go
+++ b/internal/resume/resume.go
@@ -13,6 +13,8 @@
 	"github.com/pistachiotack/pistachiotack/internal/store"
 	"github.com/pistachiotack/pistachiotack/internal/waits"
 	"github.com/pistachiotack/pistachiotack/pkg/beat"
+	"github.com/pistachiotack/pistachiotack/pkg/member"
+	"github.com/pistachiotack/pistachiotack/pkg/pace"
 	"github.com/pistachiotack/pistachiotack/pkg/routes"
 )
 
@@ -31,8 +33,10 @@
 	// retryInterval is the time between retries of a failed write of the backend server's state. Many nodes retrying faster would
 	// overload a busy table.
 	retryInterval = time.Second
-	// demandSaveInterval is the mean time between checks whether the demand estimates have changed.
+	// demandSaveInterval is the shortest mean time between checks whether the demand estimates have changed. In the whole fleet checks
+	// are demandSaveApart apart on average, since one part of the table takes 200 writes per second.
 	demandSaveInterval = 6 * time.Second
+	demandSaveApart    = 125 * time.Millisecond
 	// persistTimeout limits how long the response to a draining or deregistering backend server waits for its row to be written.
 	persistTimeout = 400 * time.Millisecond
 )
@@ -73,6 +77,11 @@
 	Restore(past rules.Past)
 }
 
+// Members lists the nodes of the fleet.
+type Members interface {
+	All() []member.Entry
+}
+
 // Resume is the kernel service; Persist is safe for concurrent use.
 type Resume struct {
 	node    string
@@ -82,6 +91,7 @@
 	guard   Guard
 	holder  Holder
 	demand  Demand
+	members Members
 	changed chan struct{}
 	cancel  context.CancelFunc
 
@@ -110,6 +120,7 @@
 		kernel.Into("guard", &r.guard),
 		kernel.Into(demand.Name, &r.demand),
 		kernel.Into("holder", &r.holder),
+		kernel.Into("gossip", &r.members),
 	)
 	if err != nil {
 		return nil, err
@@ -288,7 +299,8 @@
 func (r *Resume) run(ctx context.Context) {
 	failed := false
 	for ctx.Err() == nil {
-		wait := demandSaveInterval/2 + rand.N(demandSaveInterval)
+		interval := pace.Interval(demandSaveInterval, len(r.members.All()), demandSaveApart)
+		wait := interval/2 + rand.N(interval)
 		if _, saved, _ := r.current(); !saved {
 			wait = retryInterval
 		}
