--- a/internal/procs/main_test.go
+++ b/internal/procs/main_test.go
@@ -56,10 +56,22 @@
 	fleet, clean, err := procs.Start(t.Context(), options)
 	require.NoError(t, err)
 	t.Cleanup(clean)
+	t.Cleanup(func() { logNodes(t, fleet) })
 
 	return fleet
 }
 
+// logNodes prints the end of the nodes' logs if the test has failed, as they are removed with its directory.
+func logNodes(t *testing.T, fleet *procs.Fleet) {
+	t.Helper()
+	if !t.Failed() {
+		return
+	}
+	for _, member := range fleet.Members {
+		t.Logf("%s, running %t:\n%s", member.Node.Settings().Name, member.Node.Running(), member.Node.Log())
+	}
+}
+
 // requireKept fails with the nodes' decisions about the requests whose promise was broken.
 func requireKept(t *testing.T, fleet *procs.Fleet, report *load.Report) {
 	t.Helper()
