Take memory for request bodies as they arrive, and bound them together

Cause: hertz reserves what a request states: ten requests that state 60 MB and send nothing took 600 MB on VMs of 184 MB. A rejected request's connection was closed with unread bytes, which resets it and may lose the response. Change: bodies above 64 KiB and chunked ones are read by internal/listen as they arrive; together they have 64 MiB for each listener, and beyond it the request gets 503 with Retry-After: it was not run. internal/budget is the bound, taken out of internal/relay. A rejected request is followed by half a second of reading on.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -10,6 +10,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/pistachiotack/pistachiotack/internal/budget"
 	"github.com/pistachiotack/pistachiotack/internal/kernel"
 	"github.com/pistachiotack/pistachiotack/internal/listen"
 	"github.com/pistachiotack/pistachiotack/internal/meter"
@@ -118,7 +119,7 @@
 	responseLatency *meter.Vec[tally.Histogram]
 	refused         *meter.Vec[tally.Counter]
 	client          *relay.Client
-	buffers         *relay.Buffers
+	buffers         *budget.Budget
 	close           func()
 	server          *listen.Server
 	picker          *picker
@@ -139,7 +140,7 @@
 	return &Front{
 		options:   options,
 		client:    client,
-		buffers:   relay.NewBuffers(maxBuffered),
+		buffers:   budget.New(maxBuffered),
 		close:     closeClient,
 		picker:    newPicker(options.Node, options.DataCentre, options.Seed),
 		splitter:  routes.NewSplitter(),
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -9,6 +9,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/pistachiotack/pistachiotack/internal/budget"
 	"github.com/pistachiotack/pistachiotack/internal/kernel"
 	"github.com/pistachiotack/pistachiotack/internal/listen"
 	"github.com/pistachiotack/pistachiotack/internal/meter"
@@ -82,7 +83,7 @@
 	tracer    Tracer
 	refused   *meter.Vec[tally.Counter]
 	client    *relay.Client
-	buffers   *relay.Buffers
+	buffers   *budget.Budget
 	close     func()
 	server    *listen.Server
 	active    atomic.Int64
@@ -106,7 +107,7 @@
 	return &Guard{
 		options:   options,
 		client:    client,
-		buffers:   relay.NewBuffers(maxBuffered),
+		buffers:   budget.New(maxBuffered),
 		close:     closeClient,
 		stopped:   make(chan struct{}),
 		backend:   beat.NewServer(beat.Options{Service: options.Service, Address: options.Backend, Interval: options.Interval}),
--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -64,8 +64,9 @@
 	unread int
 	// served is true once a request has been read.
 	served bool
-	// pipelined is true once a request has been read before the response to the one before it was sent.
-	pipelined bool
+	// mayHaveUnread is true once a request has been read before the response to the one before it was sent, or has been rejected: the
+	// client may have sent bytes that are never read.
+	mayHaveUnread bool
 	// unreleased is the number of bytes read since the input buffer was freed; only the reader uses it.
 	unreleased int
 }
@@ -105,7 +106,7 @@
 func (c *connection) end() {
 	c.mu.Lock()
 	answered := c.queue.Ended() && c.queue.Open() == 0
-	linger := answered && c.pipelined
+	linger := answered && c.mayHaveUnread
 	if !answered {
 		c.queue.HangUp()
 	}
@@ -126,6 +127,7 @@
 // drop removes an exchange without a sent response. The mutex must be held.
 func (c *connection) drop(x *exchange) {
 	delete(c.exchanges, x.sequence)
+	c.protocol.server.bodies.Release(x.reserved)
 	c.protocol.server.endRequest()
 	c.protocol.recycle(x.ctx)
 }
@@ -224,14 +226,15 @@
 func (c *connection) acceptRequest(ctx context.Context) error {
 	x := &exchange{ctx: c.protocol.acquire(c.conn), arrivedAt: time.Now()}
 	buffered := c.conn.Len()
-	err := x.read(c.protocol.server.maxHeader, c.protocol.server.maxBody)
+	err := x.read(c.protocol.server)
 	c.unreleased += max(buffered-c.conn.Len(), len(x.ctx.Request.Header.RawHeaders())) + len(x.ctx.Request.BodyBytes())
 	if err == nil && x.ctx.Request.MayContinue() {
 		if err = c.waitForResponses(); err == nil {
-			err = x.readContinued(c.protocol.server.maxBody)
+			err = x.readContinued(c.protocol.server)
 		}
 	}
 	if err != nil && disconnected(err) {
+		c.protocol.server.bodies.Release(x.reserved)
 		c.protocol.recycle(x.ctx)
 		c.hangUp()
 
@@ -268,7 +271,7 @@
 	c.protocol.server.beginRequest()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pipelined = c.pipelined || c.queue.Open() > 0
+	c.mayHaveUnread = c.mayHaveUnread || !handled || c.queue.Open() > 0
 	var start bool
 	x.sequence, start = c.queue.Accept(order.Request{Exclusive: x.exclusive && handled, Last: x.closes})
 	c.exchanges[x.sequence] = x
--- a/internal/listen/exchange.go
+++ b/internal/listen/exchange.go
@@ -19,12 +19,17 @@
 // responseContinue is the interim response that asks the client for the request body.
 const responseContinue = "HTTP/1.1 100 Continue\r\n\r\n"
 
+// fullRetryAfter is the Retry-After in seconds of a request whose body finds no memory.
+const fullRetryAfter = "1"
+
 // exchange is a request of a connection and its response.
 type exchange struct {
 	ctx       *app.RequestContext
 	sequence  int
 	arrivedAt time.Time
 	exclusive bool
+	// reserved is the number of bytes that the request body takes of the server's budget.
+	reserved int
 	// closes is true if the client asked to close the connection after the response.
 	closes bool
 }
@@ -81,17 +86,19 @@
 }
 
 // read reads the request header, and the body unless the client waits for an interim response before it sends the body.
-func (x *exchange) read(maxHeader, maxBody int) error {
-	reader := x.ctx.GetReader()
-	if err := req.ReadHeaderWithLimit(&x.ctx.Request.Header, reader, maxHeader); err != nil {
+func (x *exchange) read(server *Server) error {
+	if err := req.ReadHeaderWithLimit(&x.ctx.Request.Header, x.ctx.GetReader(), server.maxHeader); err != nil {
 		return err
 	}
+	if x.ctx.Request.MayContinue() {
+		return nil
+	}
 
-	return req.ReadLimitBody(&x.ctx.Request, reader, maxBody, false, false)
+	return x.readBody(server.maxBody, server.bodies)
 }
 
 // readContinued asks the client for the request body, and reads it.
-func (x *exchange) readContinued(maxBody int) error {
+func (x *exchange) readContinued(server *Server) error {
 	writer := x.ctx.GetWriter()
 	if _, err := writer.WriteBinary([]byte(responseContinue)); err != nil {
 		return err
@@ -100,7 +107,7 @@
 		return err
 	}
 
-	return req.ContinueReadBody(&x.ctx.Request, x.ctx.GetReader(), maxBody, false)
+	return x.readBody(server.maxBody, server.bodies)
 }
 
 // disconnected reports whether a read failed because the client has closed the connection without a further request.
@@ -112,6 +119,9 @@
 func (x *exchange) reject(err error) {
 	var fault net.Error
 	switch {
+	case errors.Is(err, errBodiesFull):
+		x.ctx.AbortWithMsg(errBodiesFull.Error(), consts.StatusServiceUnavailable)
+		x.ctx.Response.Header.Set("Retry-After", fullRetryAfter)
 	case errors.As(err, &fault) && fault.Timeout():
 		x.ctx.AbortWithMsg("Request timeout", consts.StatusRequestTimeout)
 	case errors.Is(err, hertzerrors.ErrBodyTooLarge):
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -15,6 +15,8 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/suite"
 	"github.com/cockroachdb/errors"
+
+	"github.com/pistachiotack/pistachiotack/internal/budget"
 )
 
 const (
@@ -45,6 +47,8 @@
 	repeatable         func(header *protocol.RequestHeader) bool
 	idleTimeout        time.Duration
 	maxHeader, maxBody int
+	// bodies bounds the larger request bodies together.
+	bodies             *budget.Budget
 	keepAlivesDisabled atomic.Bool
 	// openRequests is the number of requests that have been read and have no sent response.
 	openRequests atomic.Int64
@@ -81,6 +85,7 @@
 		idleTimeout: cmp.Or(options.Idle, defaultIdleTimeout),
 		maxHeader:   cmp.Or(options.MaxHeader, defaultMaxHeader),
 		maxBody:     options.MaxBody,
+		bodies:      budget.New(maxBodies),
 	}
 	if s.repeatable == nil {
 		s.repeatable = func(*protocol.RequestHeader) bool { return false }
--- a/internal/listen/serve_test.go
+++ b/internal/listen/serve_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -274,6 +275,65 @@
 	}
 }
 
+// A client may state a length, or the size of a chunk, and send nothing of it.
+func TestStatedBodyTakesNoMemoryBeforeItArrives(t *testing.T) {
+	for name, text := range map[string]string{
+		"length": "POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: 60000000\r\n\r\nshort",
+		"chunk":  "POST /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3000000\r\nshort",
+	} {
+		t.Run(name, func(t *testing.T) {
+			server, err := listen.New("127.0.0.1:0", newBackend().handle, listen.Options{MaxBody: 128 << 20})
+			require.NoError(t, err)
+			t.Cleanup(func() { require.NoError(t, server.Close(context.Background())) })
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			for range 10 {
+				dial(t, server).send(text)
+			}
+			time.Sleep(100 * time.Millisecond)
+			runtime.ReadMemStats(&after)
+			require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(8<<20))
+		})
+	}
+}
+
+func TestLargeBodiesArriveWholeWithinTheirBudget(t *testing.T) {
+	const size = 24 << 20
+	var held sync.WaitGroup
+	held.Add(1)
+	server, err := listen.New("127.0.0.1:0", func(_ context.Context, ctx *app.RequestContext) {
+		held.Wait()
+		_, _ = ctx.WriteString(strconv.Itoa(len(ctx.Request.Body())))
+	}, listen.Options{MaxBody: 32 << 20})
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, server.Close(context.Background())) })
+	block := strings.Repeat("b", size)
+	requests := []string{
+		post("/1", block),
+		"POST /2 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1000000\r\n" + block[:16<<20] + "\r\n800000\r\n" + block[:8<<20] + "\r\n0\r\n\r\n",
+	}
+	var clients []*client
+	for _, request := range requests {
+		c := dial(t, server)
+		c.send(request)
+		clients = append(clients, c)
+	}
+	refused := dial(t, server)
+	_, _ = io.WriteString(refused.conn, post("/3", block))
+	response, err := http.ReadResponse(refused.reader, nil)
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	require.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	require.NotEmpty(t, response.Header.Get("Retry-After"))
+	held.Done()
+	for _, c := range clients {
+		c.expect(strconv.Itoa(size))
+	}
+	again := dial(t, server)
+	again.send(post("/4", block))
+	again.expect(strconv.Itoa(size))
+}
+
 func TestPanicEndsOneRequestOnly(t *testing.T) {
 	b := newBackend()
 	server := startServer(t, b, listen.Options{})
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -9,6 +9,8 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 	"github.com/cockroachdb/errors"
+
+	"github.com/pistachiotack/pistachiotack/internal/budget"
 )
 
 // ErrStalled is returned by Stream.Read when no byte arrived within the progress interval.
@@ -19,7 +21,7 @@
 	Response protocol.Response
 	Stream   *Stream
 	// buffers bounds the body together with those of other responses, and reserved is the number of bytes that the body takes of it.
-	buffers  *Buffers
+	buffers  *budget.Budget
 	reserved int
 }
 
@@ -49,7 +51,7 @@
 
 // reserve reports whether the body may take further bytes of memory.
 func (r *Response) reserve(bytes int) bool {
-	if !r.buffers.reserve(bytes) {
+	if !r.buffers.Reserve(bytes) {
 		return false
 	}
 	r.reserved += bytes
@@ -58,7 +60,7 @@
 }
 
 func (r *Response) releaseBody() {
-	r.buffers.release(r.reserved)
+	r.buffers.Release(r.reserved)
 	r.reserved = 0
 }
 
--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"io"
 	"net/http/httputil"
-	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 )
@@ -17,37 +16,6 @@
 	maxTrailerBytes = 16 << 10
 )
 
-// Buffers bounds the memory that the response bodies of all attempts of a client take together. It is safe for concurrent use.
-type Buffers struct {
-	limit int64
-	used  atomic.Int64
-}
-
-// NewBuffers returns a bound in bytes.
-func NewBuffers(limit int64) *Buffers {
-	return &Buffers{limit: limit}
-}
-
-// reserve reports whether further bytes may be buffered. A nil bound allows everything.
-func (b *Buffers) reserve(bytes int) bool {
-	if b == nil {
-		return true
-	}
-	if b.used.Add(int64(bytes)) > b.limit {
-		b.used.Add(-int64(bytes))
-
-		return false
-	}
-
-	return true
-}
-
-func (b *Buffers) release(bytes int) {
-	if b != nil {
-		b.used.Add(-int64(bytes))
-	}
-}
-
 // bodyBuffer collects a response body within the limits.
 type bodyBuffer struct {
 	body     []byte
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -10,6 +10,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 	"github.com/cockroachdb/errors"
 
+	"github.com/pistachiotack/pistachiotack/internal/budget"
 	"github.com/pistachiotack/pistachiotack/pkg/call"
 )
 
@@ -71,7 +72,7 @@
 	// Deadline bounds the attempt; zero means the deadline of the context.
 	Deadline time.Time
 	// Buffers bounds the bodies of all responses of several attempts together; nil for no such bound.
-	Buffers *Buffers
+	Buffers *budget.Budget
 	// Matches reports whether a response belongs to the request; responses that do not are skipped. If nil, every response belongs
 	// to it.
 	Matches func(header *protocol.ResponseHeader) bool
--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -15,6 +15,7 @@
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/stretchr/testify/require"
 
+	"github.com/pistachiotack/pistachiotack/internal/budget"
 	"github.com/pistachiotack/pistachiotack/internal/relay"
 	"github.com/pistachiotack/pistachiotack/pkg/call"
 )
@@ -134,7 +135,7 @@
 	server := newEndlessServer(t, "HTTP/1.1 200 OK\r\n\r\n", "a")
 	client, closeClient := relay.NewClient(time.Minute)
 	t.Cleanup(closeClient)
-	buffers := relay.NewBuffers(bound)
+	buffers := budget.New(bound)
 	results := make(chan error, attempts)
 	for range attempts {
 		go func() {
