--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -124,7 +124,7 @@
 	}
 }
 
-// drop removes an exchange without a sent response. The mutex must be held.
+// drop removes an exchange whose response has been sent, or never will be. The mutex must be held.
 func (c *connection) drop(x *exchange) {
 	delete(c.exchanges, x.sequence)
 	c.protocol.server.bodies.Release(x.reserved)
@@ -163,6 +163,7 @@
 			wanted += c.conn.Len()
 		}
 		if wanted > maxUnread {
+			// the end of the connection shows only once a response can't be written
 			<-c.changed
 
 			continue
--- a/internal/rules/past.go
+++ b/internal/rules/past.go
@@ -76,6 +76,7 @@
 	}
 }
 
+// hold keeps a manifest until it is put in force by applyPending.
 func (r *Rules) hold(ctx context.Context, manifest Manifest, wait time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
