Use estimates of calls from windows in which calls fail, too

Change: a route is ready after four windows and 20 executions of any kind. The lower bound from before the failures stays.

--- a/pkg/fanout/learn.go
+++ b/pkg/fanout/learn.go
@@ -49,9 +49,9 @@
 	coefficients map[string][]float64
 	// errorVariance holds for each called route the variance of the estimation error of its calls in a window.
 	errorVariance map[string]float64
-	// windows holds for each executed route the number of windows in which it was executed while few calls failed.
+	// windows holds for each executed route the number of windows in which it was executed.
 	windows []int
-	// executed holds for each executed route the number of executions in these windows.
+	// executed holds for each executed route the number of its executions in closed windows.
 	executed []float64
 	// failures is the number of failed calls in the current window, and failedShare the moving average of their share.
 	failures    float64
@@ -248,7 +248,7 @@
 		gain[i] = dot(e.covariance[i], e.executions)
 		scale += gain[i] * e.executions[i]
 		squaredNorm += e.executions[i] * e.executions[i]
-		if e.executions[i] > 0 && e.whole == nil {
+		if e.executions[i] > 0 {
 			e.windows[i]++
 			e.executed[i] += e.executions[i]
 		}
