Keep the body of a running request apart from the bytes behind it

Chunk sizes padded without end and trailers without end were read into memory without a bound (2.6 GB in 5 s); chunk extensions were refused. A hang-up behind more than 64 KiB of unread requests went unnoticed. Both listen and relay grew bodies by code of their own. Change: bodies are copied out of the input buffer, which is freed after each request, so the count of unreleased bytes goes. Chunk lines have 256 bytes, trailers 16 KiB. The state of the socket is looked at every 100 ms behind unread bytes. internal/budget.Buffer is the one growing body. Figures: TestBodyOfARunningRequestIsNotOverwrittenByLaterOnes, TestChunkedRequestWithoutEndIsCutOff (five shapes), TestHangUpIsNoticedBehindManyUnreadBytes with 4,000 requests: each failed before.

--- a/internal/listen/body.go
+++ b/internal/listen/body.go
@@ -1,12 +1,12 @@
 package listen
 
 import (
-	"io"
+	"slices"
+	"strconv"
+	"strings"
 
 	hertzerrors "github.com/cloudwego/hertz/pkg/common/errors"
-	"github.com/cloudwego/hertz/pkg/common/utils"
 	"github.com/cloudwego/hertz/pkg/network"
-	"github.com/cloudwego/hertz/pkg/protocol/http1/ext"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/req"
 	"github.com/cockroachdb/errors"
 
@@ -18,99 +18,148 @@
 	smallBody = 64 << 10
 	// maxBodies bounds the larger bodies that a server holds at a time.
 	maxBodies = 64 << 20
+	// maxChunkLine and maxTrailer bound the line before a chunk and the trailer, in bytes.
+	maxChunkLine = 256
+	maxTrailer   = 16 << 10
 	// chunkedLength and noLength are the content lengths that hertz reports for a chunked body, and for a request without one.
 	chunkedLength = -1
 	noLength      = -2
 )
 
-// errBodiesFull means that the bodies of other requests take all memory for them.
-var errBodiesFull = errors.New("bodies of other requests take all memory for them")
+var errMalformedChunk = errors.New("malformed chunk")
 
-// body collects a large or chunked request body. Memory is taken as bytes arrive, and not by the length that the client states.
-type body struct {
-	bytes    []byte
-	reserved int
-	maxBytes int
-	budget   *budget.Budget
+// releaseInterval is the number of bytes after which the input buffer is freed. Freeing it more often costs a new buffer each time.
+const releaseInterval = 4 << 10
+
+// chunkReader reads the chunks of a request body. It frees the input buffer of the connection as it goes.
+type chunkReader struct {
+	conn   network.Conn
+	buffer *budget.Buffer
+	// maxBody is the largest body in bytes.
+	maxBody int
+	// unreleased is the number of bytes read since the input buffer was freed.
+	unreleased int
 }
 
-// grow makes room for at least one more byte.
-func (b *body) grow() error {
-	if len(b.bytes) < cap(b.bytes) {
-		return nil
+// Read copies bytes from the input buffer, and waits for some if it is empty.
+func (r *chunkReader) Read(p []byte) (int, error) {
+	available, err := r.conn.Peek(min(max(r.conn.Len(), 1), len(p)))
+	if err != nil {
+		return 0, err
 	}
-	capacity := max(2*cap(b.bytes), smallBody)
-	if !b.budget.Reserve(capacity - cap(b.bytes)) {
-		return errBodiesFull
+	n := copy(p, available)
+	if err := r.conn.Skip(n); err != nil {
+		return n, err
 	}
-	b.reserved += capacity - cap(b.bytes)
-	grown := make([]byte, len(b.bytes), capacity)
-	copy(grown, b.bytes)
-	b.bytes = grown
+	if r.unreleased += n; r.unreleased >= releaseInterval {
+		r.unreleased = 0
 
-	return nil
+		return n, r.conn.Release()
+	}
+
+	return n, nil
 }
 
-// read appends exactly the given number of bytes.
-func (b *body) read(reader io.Reader, length int) error {
-	if length > b.maxBytes-len(b.bytes) {
-		return hertzerrors.ErrBodyTooLarge
-	}
-	for end := len(b.bytes) + length; len(b.bytes) < end; {
-		if err := b.grow(); err != nil {
+// read reads all chunks and the trailer, whose fields are dropped.
+func (r *chunkReader) read() error {
+	for {
+		size, err := r.readSize()
+		if err != nil {
 			return err
 		}
-		n, err := reader.Read(b.bytes[len(b.bytes):min(cap(b.bytes), end)])
-		b.bytes = b.bytes[:len(b.bytes)+n]
-		if err != nil {
+		if size == 0 {
+			return r.skipTrailer()
+		}
+		if size > uint64(r.maxBody-r.buffer.Len()) {
+			return hertzerrors.ErrBodyTooLarge
+		}
+		if err := r.buffer.ReadFull(r, int(size)); err != nil {
 			return err
 		}
+		if line, err := r.readLine(len("\r\n")); err != nil || line != "" {
+			return errors.CombineErrors(err, errMalformedChunk)
+		}
 	}
+}
 
-	return nil
+// readSize reads the size of the next chunk; extensions are ignored.
+func (r *chunkReader) readSize() (uint64, error) {
+	line, err := r.readLine(maxChunkLine)
+	if err != nil {
+		return 0, err
+	}
+	digits, _, _ := strings.Cut(line, ";")
+	size, err := strconv.ParseUint(strings.TrimSpace(digits), 16, 63)
+
+	return size, errors.Wrap(err, "size of a chunk")
 }
 
-// readChunks reads chunks until the last one.
-func (b *body) readChunks(reader network.Reader, stream io.Reader) error {
-	for {
-		size, err := utils.ParseChunkSize(reader)
-		if err != nil || size == 0 {
+func (r *chunkReader) skipTrailer() error {
+	for left := maxTrailer; ; {
+		line, err := r.readLine(left)
+		if err != nil || line == "" {
 			return err
 		}
-		if err := b.read(stream, size); err != nil {
-			return err
+		left -= len(line) + len("\r\n")
+	}
+}
+
+// readLine reads a line of at most the given number of bytes, and returns it without its end.
+func (r *chunkReader) readLine(maxBytes int) (string, error) {
+	var line []byte
+	var next [1]byte
+	for len(line) < maxBytes {
+		if _, err := r.Read(next[:]); err != nil {
+			return "", err
 		}
-		if err := utils.SkipCRLF(reader); err != nil {
-			return err
+		line = append(line, next[0])
+		if next[0] == '\n' {
+			return strings.TrimSuffix(string(line[:len(line)-1]), "\r"), nil
 		}
 	}
+
+	return "", errMalformedChunk
 }
 
-// readBody reads the body of a request whose header has been read.
+// readBody reads the body of a request whose header has been read. The body doesn't share memory with the input buffer of the
+// connection, which later requests overwrite.
 func (x *exchange) readBody(maxBody int, shared *budget.Budget) error {
 	request := &x.ctx.Request
 	length := request.Header.ContentLength()
 	if length != chunkedLength && length <= smallBody || length == noLength {
-		return req.ContinueReadBody(request, x.ctx.GetReader(), maxBody, false)
-	}
-	b := body{maxBytes: maxBody, budget: shared}
-	defer func() { x.reserved = b.reserved }()
-	if length != chunkedLength {
-		if err := b.read(x.ctx.GetConn(), length); err != nil {
+		if err := req.ContinueReadBody(request, x.ctx.GetReader(), maxBody, false); err != nil {
 			return err
 		}
-		request.SetBodyRaw(b.bytes)
+		if body := request.BodyBytes(); len(body) > 0 {
+			request.SetBodyRaw(slices.Clone(body))
+		}
 
 		return nil
 	}
-	if err := b.readChunks(x.ctx.GetReader(), x.ctx.GetConn()); err != nil {
-		return err
+	largest := maxBody
+	if length != chunkedLength {
+		largest = min(length, maxBody)
 	}
-	if err := ext.ReadTrailer(request.Header.Trailer(), x.ctx.GetReader()); err != nil && !errors.Is(err, io.EOF) {
+	buffer := budget.NewBuffer(shared, nil, largest)
+	defer func() { x.reserved = buffer.Reserved() }()
+	if err := x.readLargeBody(buffer, length, maxBody); err != nil {
 		return err
 	}
-	request.SetBodyRaw(b.bytes)
-	request.Header.SetContentLength(len(b.bytes))
+	request.SetBodyRaw(buffer.Bytes())
+	request.Header.SetContentLength(buffer.Len())
 
 	return nil
 }
+
+func (x *exchange) readLargeBody(buffer *budget.Buffer, length, maxBody int) error {
+	if length == chunkedLength {
+		chunks := chunkReader{conn: x.ctx.GetConn(), buffer: buffer, maxBody: maxBody}
+
+		return chunks.read()
+	}
+	if length > maxBody {
+		return hertzerrors.ErrBodyTooLarge
+	}
+
+	return buffer.ReadFull(x.ctx.GetConn(), length)
+}
--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -23,12 +23,10 @@
 	// responses that may wait for an earlier one, before further requests stay unread.
 	maxPipelined     = 16
 	maxHeldResponses = 1 << 20
-	// releaseThreshold is the number of bytes read after which the input buffer is freed as soon as no request uses it, and
-	// maxUnreleased the number at which no request is read before that.
-	releaseThreshold = 4 << 10
-	maxUnreleased    = 64 << 10
 	// maxUnread is the number of bytes behind an exclusive request that are buffered to notice when the client closes the connection.
 	maxUnread = 64 << 10
+	// hangUpInterval is the time between checks whether the client has closed a connection with more unread bytes.
+	hangUpInterval = 100 * time.Millisecond
 	// writeTimeout bounds the time to write a response to a client that reads slowly.
 	writeTimeout = 30 * time.Second
 	// lingerTimeout and maxLingerBytes bound the wait for the end of requests that the client has sent behind the last response.
@@ -67,8 +65,6 @@
 	// mayHaveUnread is true once a request has been read before the response to the one before it was sent, or has been rejected: the
 	// client may have sent bytes that are never read.
 	mayHaveUnread bool
-	// unreleased is the number of bytes read since the input buffer was freed; only the reader uses it.
-	unreleased int
 }
 
 func newConnection(protocol *protocolServer, conn network.Conn, socket net.Conn) *connection {
@@ -154,7 +150,7 @@
 			return false
 		}
 		open := c.queue.Open()
-		ready := c.queue.MayRead() && (c.unreleased < maxUnreleased || open == 0)
+		ready := c.queue.MayRead()
 		c.idle, c.parked, c.unread = ready, !ready, c.conn.Len()
 		c.setIdleDeadline(open)
 		c.mu.Unlock()
@@ -163,8 +159,11 @@
 			wanted += c.conn.Len()
 		}
 		if wanted > maxUnread {
-			// the end of the connection shows only once a response can't be written
-			<-c.changed
+			if !c.waitForChange() {
+				c.hangUp()
+
+				return false
+			}
 
 			continue
 		}
@@ -181,6 +180,23 @@
 	}
 }
 
+// waitForChange waits until a response has been sent. It returns false if the client has closed the connection meanwhile, which a read
+// would show only after all bytes before it.
+func (c *connection) waitForChange() bool {
+	ticker := time.NewTicker(hangUpInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-c.changed:
+			return true
+		case <-ticker.C:
+			if closedByPeer(c.socket) {
+				return false
+			}
+		}
+	}
+}
+
 // setIdleDeadline bounds the wait for the next request while none is in progress. The mutex must be held.
 func (c *connection) setIdleDeadline(open int) {
 	deadline := time.Time{}
@@ -215,10 +231,6 @@
 		return false
 	}
 	_ = c.conn.SetReadDeadline(time.Now().Add(readTimeout))
-	if c.queue.Open() == 0 && c.unreleased >= releaseThreshold {
-		_ = c.conn.Release()
-		c.unreleased = 0
-	}
 
 	return true
 }
@@ -226,9 +238,7 @@
 // acceptRequest reads a request and starts it unless it has to wait. The error is not nil if the connection can't be used any more.
 func (c *connection) acceptRequest(ctx context.Context) error {
 	x := &exchange{ctx: c.protocol.acquire(c.conn), arrivedAt: time.Now()}
-	buffered := c.conn.Len()
 	err := x.read(c.protocol.server)
-	c.unreleased += max(buffered-c.conn.Len(), len(x.ctx.Request.Header.RawHeaders())) + len(x.ctx.Request.BodyBytes())
 	if err == nil && x.ctx.Request.MayContinue() {
 		if err = c.waitForResponses(); err == nil {
 			err = x.readContinued(c.protocol.server)
@@ -246,6 +256,8 @@
 	if err != nil {
 		x.reject(err)
 	}
+	// neither header nor body refer to the input buffer
+	_ = c.conn.Release()
 	c.enqueue(ctx, x, err == nil)
 
 	return nil
--- a/internal/listen/exchange.go
+++ b/internal/listen/exchange.go
@@ -11,6 +11,8 @@
 	"github.com/cloudwego/hertz/pkg/protocol/http1/req"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 	"github.com/cockroachdb/errors"
+
+	"github.com/pistachiotack/pistachiotack/internal/budget"
 )
 
 // arrivalKey is the key under which a request context holds the time at which a delayed request arrived.
@@ -119,8 +121,8 @@
 func (x *exchange) reject(err error) {
 	var fault net.Error
 	switch {
-	case errors.Is(err, errBodiesFull):
-		x.ctx.AbortWithMsg(errBodiesFull.Error(), consts.StatusServiceUnavailable)
+	case errors.Is(err, budget.ErrFull):
+		x.ctx.AbortWithMsg(budget.ErrFull.Error(), consts.StatusServiceUnavailable)
 		x.ctx.Response.Header.Set("Retry-After", fullRetryAfter)
 	case errors.As(err, &fault) && fault.Timeout():
 		x.ctx.AbortWithMsg("Request timeout", consts.StatusRequestTimeout)
--- a/internal/listen/protocol.go
+++ b/internal/listen/protocol.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"syscall"
 
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/network"
@@ -47,6 +48,34 @@
 	p.core.GetCtxPool().Put(ctx)
 }
 
+// States of a TCP socket of Linux whose peer has closed the connection, or reset it.
+const (
+	tcpClose     = 7
+	tcpCloseWait = 8
+)
+
+// closedByPeer reports whether the other end of a TCP connection has closed it; false if the system doesn't tell.
+func closedByPeer(socket net.Conn) bool {
+	access, ok := socket.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := access.SyscallConn()
+	if err != nil {
+		return false
+	}
+	closed := false
+	err = raw.Control(func(fd uintptr) {
+		// the state is the first byte of the structure
+		if info, err := syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO); err == nil {
+			state := info & 0xff
+			closed = state == tcpClose || state == tcpCloseWait
+		}
+	})
+
+	return err == nil && closed
+}
+
 type socketKey struct{}
 
 // withSocket keeps the accepted connection, which hertz wraps in one that cannot be closed for writing only.
--- a/internal/listen/serve_test.go
+++ b/internal/listen/serve_test.go
@@ -196,7 +196,7 @@
 func TestHangUpIsNoticedBehindManyUnreadBytes(t *testing.T) {
 	b := newBackend()
 	c := dial(t, startServer(t, b, listen.Options{}))
-	c.send(post("/1", "one"), strings.Repeat(get("/2"), 1000))
+	c.send(post("/1", "one"), strings.Repeat(get("/2"), 4000))
 	require.Eventually(t, func() bool { return len(b.startedPaths()) == 1 }, patience, time.Millisecond)
 	require.NoError(t, c.conn.Close())
 	require.Eventually(t, func() bool { return len(b.cancelledPaths()) == 1 }, patience, time.Millisecond)
@@ -380,6 +380,54 @@
 	}
 }
 
+// The input buffer of the connection is used again while an earlier request, whose body came through it, is still running.
+func TestBodyOfARunningRequestIsNotOverwrittenByLaterOnes(t *testing.T) {
+	b := newBackend()
+	c := dial(t, startServer(t, b, listen.Options{}))
+	const first = "the body of the first request"
+	c.send("GET /1 HTTP/1.1\r\nHost: a\r\nContent-Length: " + strconv.Itoa(len(first)) + "\r\n\r\n" + first)
+	require.Eventually(t, func() bool { return len(b.startedPaths()) == 1 }, patience, time.Millisecond)
+	c.send("GET /2 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n")
+	for range 20 {
+		c.send("40;x=y\r\n" + strings.Repeat("z", 64) + "\r\n")
+		time.Sleep(time.Millisecond)
+	}
+	c.send("0\r\nX: trailer\r\n\r\n")
+	require.Eventually(t, func() bool { return len(b.startedPaths()) == 2 }, patience, time.Millisecond)
+	b.release("/1", "/2")
+	c.expect("answer /1 " + first)
+	c.expect("answer /2 " + strings.Repeat("z", 20*64))
+}
+
+// What stands around the chunks of a body may come without end as well.
+func TestChunkedRequestWithoutEndIsCutOff(t *testing.T) {
+	const head = "POST /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, test := range map[string]struct{ text, unit string }{
+		"digits":    {head, "0"},
+		"spaces":    {head + "1", " "},
+		"extension": {head + "1;a=", "b"},
+		"trailer":   {head + "0\r\n", "X: a\r\n"},
+		"chunks":    {head, "1\r\na\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			c := dial(t, startServer(t, newBackend(), listen.Options{}))
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			c.send(test.text)
+			block := []byte(strings.Repeat(test.unit, (32<<10)/len(test.unit)))
+			written, err := 0, error(nil)
+			for err == nil && written < 256<<20 {
+				var n int
+				n, err = c.conn.Write(block)
+				written += n
+			}
+			require.Error(t, err, "the connection is closed")
+			runtime.ReadMemStats(&after)
+			require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(64<<20))
+		})
+	}
+}
+
 func TestManyPipelinedRequestsAreAllAnsweredInOrder(t *testing.T) {
 	const requests = 2000
 	server, err := listen.New("127.0.0.1:0", func(_ context.Context, ctx *app.RequestContext) {
--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -49,16 +49,6 @@
 	r.Response.Reset()
 }
 
-// reserve reports whether the body may take further bytes of memory.
-func (r *Response) reserve(bytes int) bool {
-	if !r.buffers.Reserve(bytes) {
-		return false
-	}
-	r.reserved += bytes
-
-	return true
-}
-
 func (r *Response) releaseBody() {
 	r.buffers.Release(r.reserved)
 	r.reserved = 0
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -24,7 +24,6 @@
 	errWrongResponse    = errors.New("answer belongs to another request")
 	errHeadTooLong      = errors.New("header is longer than allowed")
 	errEndless          = errors.New("answer without a length is longer than allowed")
-	errBuffersFull      = errors.New("bodies of other answers take all memory for them")
 )
 
 // Idle timeouts of pooled connections. Each is shorter than the idle timeout of the server at the other end, so that a request is
@@ -280,6 +279,15 @@
 	}
 }
 
+// maxBufferedBody returns the largest size that the body can have.
+func (a *attempt) maxBufferedBody() int {
+	if length := a.response.Response.Header.ContentLength(); length >= 0 {
+		return min(length, a.limits.MaxBodyBytes)
+	}
+
+	return a.limits.MaxBodyBytes
+}
+
 // bufferBody reads the body into memory, and reports whether bytes follow it.
 func (a *attempt) bufferBody() (trailing bool, err error) {
 	response := &a.response.Response
@@ -287,7 +295,8 @@
 		return a.conn.Len() > 0, nil
 	}
 	pooled := response.BodyBuffer()
-	body := bodyBuffer{body: pooled.B[:0], maxBytes: a.limits.MaxBodyBytes, response: a.response}
+	buffer := budget.NewBuffer(a.limits.Buffers, pooled.B, a.maxBufferedBody())
+	body := bodyReader{buffer: buffer, maxBytes: a.limits.MaxBodyBytes}
 	switch length := response.Header.ContentLength(); length {
 	case closeDelimitedLength:
 		err = body.readToEnd(a.conn)
@@ -296,11 +305,12 @@
 	default:
 		err = body.readLength(a.conn, length)
 	}
-	pooled.B = body.body
+	pooled.B = buffer.Bytes()
+	a.response.reserved += buffer.Reserved()
 	if err != nil {
 		return false, err
 	}
-	response.Header.SetContentLength(len(body.body))
+	response.Header.SetContentLength(buffer.Len())
 
 	return trailing || a.conn.Len() > 0, nil
 }
--- a/internal/relay/timing.go
+++ b/internal/relay/timing.go
@@ -7,6 +7,7 @@
 	"github.com/cloudwego/hertz/pkg/common/errors"
 	cockroach "github.com/cockroachdb/errors"
 
+	"github.com/pistachiotack/pistachiotack/internal/budget"
 	"github.com/pistachiotack/pistachiotack/pkg/call"
 )
 
@@ -40,7 +41,7 @@
 	switch {
 	case cockroach.Is(err, errTooLong):
 		return call.ReasonTooLarge
-	case cockroach.Is(err, errBuffersFull):
+	case cockroach.Is(err, budget.ErrFull):
 		return call.ReasonBufferFull
 	default:
 		return call.ReasonTorn
