--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -13,7 +13,7 @@
 
 	"github.com/pistachiotack/pistachiotack/internal/kernel"
 	"github.com/pistachiotack/pistachiotack/internal/waits"
-	"github.com/pistachiotack/pistachiotack/pkg/era"
+	"github.com/pistachiotack/pistachiotack/pkg/eras"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
 	"github.com/pistachiotack/pistachiotack/pkg/routes"
 )
@@ -47,9 +47,9 @@
 // Feed provides the versions of the route table that the operators have published.
 type Feed interface {
 	// Newest returns the newest manifest, nil if there is none, and the cursor after it.
-	Newest(ctx context.Context) (Manifest, era.Version, error)
+	Newest(ctx context.Context) (Manifest, eras.Version, error)
 	// Next waits for a manifest after the cursor, nil if none arrives in time. The error may wrap ErrCursorExpired.
-	Next(ctx context.Context, cursor era.Version, wait time.Duration) (Manifest, era.Version, error)
+	Next(ctx context.Context, cursor eras.Version, wait time.Duration) (Manifest, eras.Version, error)
 	// Decode returns the route table that a manifest encodes.
 	Decode(manifest Manifest) (*routes.Table, error)
 }
@@ -161,7 +161,7 @@
 
 // watchFeed polls the change feed of the platform until the context ends.
 func (r *Rules) watchFeed(ctx context.Context) error {
-	cursor, haveCursor := era.Version{}, false
+	cursor, haveCursor := eras.Version{}, false
 	failures := 0
 	for ctx.Err() == nil {
 		manifest, next, err := r.poll(ctx, cursor, haveCursor)
@@ -185,7 +185,7 @@
 }
 
 // poll reads the newest manifest if there is no valid cursor, and otherwise waits for a change after it.
-func (r *Rules) poll(ctx context.Context, cursor era.Version, haveCursor bool) (Manifest, era.Version, error) {
+func (r *Rules) poll(ctx context.Context, cursor eras.Version, haveCursor bool) (Manifest, eras.Version, error) {
 	if !haveCursor {
 		return r.feed.Newest(ctx)
 	}
--- a/pkg/era/era.go
+++ b/pkg/eras/eras.go
@@ -1,4 +1,4 @@
-package era
+package eras
 
 import (
 	"strconv"
