Call nodes that left until they answer again

A restarted node reads its contacts from the store, knew nobody and waited for routes until 18.2 s, 6.7 s after its start; the others took it for gone, since only dead nodes were called again, one in 30 s each. Ruled out: the backend servers (their heartbeats came within 0.4 s), the level, the quota.

Change: pkg/member calls the address of each node that left or died less than 30 s ago, about once in a gossip interval for the whole fleet together, and the slow revisit takes nodes that left as well.

Meant for any roll or restart beside an outage of the store.

--- a/pkg/member/fleet.go
+++ b/pkg/member/fleet.go
@@ -49,6 +49,7 @@
 	sync    time.Time
 	relay   time.Time
 	revisit time.Time
+	recall  time.Time
 	expire  time.Time
 }
 
@@ -72,6 +73,7 @@
 		sync:    now.Add(f.jitter(options.ProbeInterval)),
 		relay:   now.Add(f.jitter(options.RelayInterval)),
 		revisit: now,
+		recall:  now,
 		expire:  now.Add(options.SuspectTimeout),
 	}
 	f.put(f.self, now)
--- a/pkg/member/options.go
+++ b/pkg/member/options.go
@@ -14,7 +14,7 @@
 	SyncInterval time.Duration
 	// RelayInterval is the time between digest comparisons of a relay with each other data centre.
 	RelayInterval time.Duration
-	// RevisitInterval is the time between attempts to reach a dead node or a contact at which no member is known.
+	// RevisitInterval is the time between attempts to reach a node that ended long ago or a contact at which no member is known.
 	RevisitInterval time.Duration
 	// UnreachableTimeout is how long a data centre may be unreachable before its nodes are suspected and declared dead.
 	UnreachableTimeout time.Duration
--- a/pkg/member/tick.go
+++ b/pkg/member/tick.go
@@ -22,6 +22,9 @@
 	if due(&f.schedule.revisit, now, f.revisitInterval()) {
 		actions = append(actions, f.revisit(now)...)
 	}
+	if due(&f.schedule.recall, now, f.jitter(f.options.GossipInterval)) {
+		actions = append(actions, f.recallEnded(now)...)
+	}
 	if due(&f.schedule.expire, now, f.options.ProbeInterval) {
 		f.expireSuspects(now)
 		f.expireUnreachable(now)
@@ -171,14 +174,41 @@
 	return f.pick(callable) == nil
 }
 
-// revisit tries contacts at which no member is known, and one dead node.
+// recallTime is how long a node that has ended is called often, because most restarts take less.
+const recallTime = 30 * time.Second
+
+// recallEnded calls nodes that left or died within recallTime. A node that restarts while the platform's table is away knows no other
+// node and can only be found at its address. On average one node of the fleet calls each address in every gossip interval.
+func (f *Fleet) recallEnded(now time.Time) []Action {
+	live := 0
+	var ended []*Entry
+	for _, id := range f.ids {
+		rec := f.records[id]
+		switch {
+		case alive(rec.entry):
+			live++
+		case rec.entry.Control != "" && f.age(rec, now) < recallTime:
+			ended = append(ended, rec.entry)
+		}
+	}
+	var actions []Action
+	for _, entry := range ended {
+		if f.random.Float64()*float64(live) < 1 {
+			actions = append(actions, f.syncWith(now, entry.ID, entry.Control))
+		}
+	}
+
+	return actions
+}
+
+// revisit tries contacts at which no member is known, and one node that has ended.
 func (f *Fleet) revisit(now time.Time) []Action {
 	var actions []Action
 	for _, address := range f.unknownContacts() {
 		actions = append(actions, f.syncWith(now, "", address))
 	}
-	if dead := f.pick(func(e *Entry) bool { return e.State == StateDead && e.Control != "" }); dead != nil {
-		actions = append(actions, f.syncWith(now, dead.ID, dead.Control))
+	if ended := f.pick(func(e *Entry) bool { return !alive(e) && e.Control != "" }); ended != nil {
+		actions = append(actions, f.syncWith(now, ended.ID, ended.Control))
 	}
 
 	return actions
--- a/pkg/member/world_test.go
+++ b/pkg/member/world_test.go
@@ -43,6 +43,8 @@
 	// deferred holds the callbacks that came due while the node was paused; they run when it resumes.
 	deferred []func()
 	events   []member.Event
+	// received is the number of calls to the node, also while it is down.
+	received int
 }
 
 type timer struct {
@@ -210,6 +212,9 @@
 	sim, generation := n.sim, n.generation
 	receiver, found := sim.byID[address]
 	sim.sent++
+	if found {
+		receiver.received++
+	}
 	if !found || !sim.delivers(n, receiver) {
 		return
 	}
