Let the last node of a service accept calls longer while it stops

The three nodes of one service were stopped within a second of each other; each refused calls 1.5 s later, and the first was back 2.5 s after that.

Change: pkg/leave decides when a stopping node refuses calls: after 1.5 s if another node of its service stays or goes after it, at half of the grace time at the latest. Members carry the time at which a stop began; all nodes order stops by it.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -214,6 +214,15 @@
 	return err
 }
 
+// SetLeaving announces that a planned stop of the node has begun.
+func (g *Gossip) SetLeaving() {
+	_ = g.update(func(now time.Time) error {
+		g.fleet.SetLeaving(now)
+
+		return nil
+	})
+}
+
 // SetRevision sets the settings revision that the node's own entry carries.
 func (g *Gossip) SetRevision(revision uint64) {
 	g.mu.Lock()
--- a/internal/routed/node.go
+++ b/internal/routed/node.go
@@ -20,6 +20,7 @@
 	"github.com/pistachiotack/pistachiotack/internal/resume"
 	"github.com/pistachiotack/pistachiotack/internal/rules"
 	"github.com/pistachiotack/pistachiotack/internal/trace"
+	"github.com/pistachiotack/pistachiotack/pkg/leave"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
 	"github.com/pistachiotack/pistachiotack/pkg/quota"
 )
@@ -173,9 +174,10 @@
 	deregistrationDelay    = 2500 * time.Millisecond
 	maxDeregistrationShare = 0.6
 	// backendDrainDelay is how long the node keeps accepting calls for its backend server, which may outlive the node, at most
-	// maxBackendDrainShare of the grace period.
+	// maxBackendDrainShare of the grace period, or up to maxHandoverShare of it while no other node of the service accepts calls.
 	backendDrainDelay    = 1500 * time.Millisecond
 	maxBackendDrainShare = 0.25
+	maxHandoverShare     = 0.5
 	// minIdleTime is how long no request must have been in progress before the node refuses new ones.
 	minIdleTime = 300 * time.Millisecond
 	// Shares of the grace period after which the node refuses new requests, stops waiting for those in progress, and has ended.
@@ -191,9 +193,10 @@
 	stopStartedAt := time.Now()
 	n.draining.Store(true)
 	n.front.DisableKeepAlives()
+	n.gossip.SetLeaving()
 	n.log.LogAttrs(ctx, slog.LevelInfo, "node leaves",
 		slog.Int64("requests", n.front.Active()), slog.Int64("executions", n.guard.Active()))
-	time.Sleep(min(backendDrainDelay, n.graceDeadline(stopStartedAt, maxBackendDrainShare).Sub(stopStartedAt)))
+	n.waitForTurn(ctx, stopStartedAt)
 	n.guard.StartDraining()
 	deregistration := min(deregistrationDelay, n.graceDeadline(stopStartedAt, maxDeregistrationShare).Sub(stopStartedAt))
 	n.waitIdle(n.graceDeadline(stopStartedAt, refuseShare), func(idle time.Duration) bool {
@@ -209,6 +212,45 @@
 	return errors.CombineErrors(n.gossip.SetState(member.StateLeft), n.started.Stop(stopCtx))
 }
 
+// waitForTurn waits until the node may refuse calls to its backend server.
+func (n *Node) waitForTurn(ctx context.Context, stopStartedAt time.Time) {
+	limits := leave.Limits{
+		Earliest: min(backendDrainDelay, n.graceDeadline(stopStartedAt, maxBackendDrainShare).Sub(stopStartedAt)),
+		Latest:   n.graceDeadline(stopStartedAt, maxHandoverShare).Sub(stopStartedAt),
+	}
+	self := n.gossip.Self()
+	if self.State != member.StateServing {
+		limits.Latest = limits.Earliest
+	}
+	own := leave.Stop{Node: self.ID, BeganAt: self.LeavingAt}
+	for {
+		elapsed := time.Since(stopStartedAt)
+		staying, stopping := n.servingOthers()
+		if limits.Due(elapsed, own, staying, stopping) {
+			n.log.LogAttrs(ctx, slog.LevelInfo, "calls refused",
+				slog.Duration("after", elapsed), slog.Int("staying", staying), slog.Int("stopping", len(stopping)))
+
+			return
+		}
+		time.Sleep(drainInterval)
+	}
+}
+
+// servingOthers returns the number of other nodes of the service that serve and stay, and the stops of those that still serve.
+func (n *Node) servingOthers() (staying int, stopping []leave.Stop) {
+	for _, entry := range n.gossip.Members(n.options.Service) {
+		switch {
+		case entry.ID == n.options.Name || entry.State != member.StateServing:
+		case entry.LeavingAt.IsZero():
+			staying++
+		default:
+			stopping = append(stopping, leave.Stop{Node: entry.ID, BeganAt: entry.LeavingAt})
+		}
+	}
+
+	return staying, stopping
+}
+
 // graceDeadline returns the time at which the given share of the grace period has passed.
 func (n *Node) graceDeadline(startedAt time.Time, share float64) time.Time {
 	return startedAt.Add(time.Duration(share * float64(n.options.GracePeriod)))
--- a/pkg/member/entry.go
+++ b/pkg/member/entry.go
@@ -36,6 +36,9 @@
 	// Peers is the address for forwarded calls, Control the address for net/rpc.
 	Peers   string
 	Control string
+	// LeavingAt is when a planned stop of the node began, by its own clock; zero without one. The node still accepts calls until it
+	// announces that it is draining.
+	LeavingAt time.Time
 	// Slots is the number of requests that the node's backend server runs at once, Connections the connections configured for it.
 	Slots       int
 	Connections int
--- a/pkg/member/fleet.go
+++ b/pkg/member/fleet.go
@@ -127,6 +127,14 @@
 	f.announce(now, self)
 }
 
+// SetLeaving announces that a planned stop of the node has begun.
+func (f *Fleet) SetLeaving(now time.Time) {
+	self := *f.self
+	self.LeavingAt = now.UTC().Truncate(time.Millisecond)
+	self.Version++
+	f.announce(now, self)
+}
+
 // SetRevision sets the settings revision that the node's own entry carries.
 func (f *Fleet) SetRevision(now time.Time, revision uint64) {
 	changed := *f.self
