Send one attempt at a time to a target that has stopped responding

Change: pkg/route knows by when a target should have responded, half a second or four times the usual latency of the kind. A target that is silent for longer gets one attempt at a time while another is eligible, and its share again with its first response. Running attempts are not touched.

--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -16,7 +17,7 @@
 	ReasonSpill call.Reason = "spill"
 	// ReasonFar means that no near target is eligible.
 	ReasonFar call.Reason = "farOnly"
-	// ReasonLastResort means that all eligible targets are ejected.
+	// ReasonLastResort means that all eligible targets are ejected or silent.
 	ReasonLastResort call.Reason = "lastResort"
 )
 
@@ -158,7 +159,7 @@
 	if reason != "" {
 		choice.Reason = reason
 	}
-	t.byID[choice.Entry.ID].inflight++
+	t.byID[choice.Entry.ID].begin(now, t.silenceFor(t.kindLatencies[q.Kind]))
 
 	return choice, nil
 }
@@ -177,7 +178,7 @@
 	if !found || executing.entry.Incarnation != incarnation {
 		return false
 	}
-	executing.inflight = max(executing.inflight-1, 0)
+	executing.end(now, s.responded(), t.silenceFor(t.slowestKind()))
 	executing.record(now, s)
 	t.recordKindThreshold(now, s)
 	t.recordLatency(now, executing, s)
@@ -211,6 +212,21 @@
 	executing.recordLatencyRatio(now, latency/mean)
 }
 
+// silenceFor returns the time without any response after which a target counts as silent, given the usual latency in nanoseconds.
+func (t *Table) silenceFor(latency float64) time.Duration {
+	return max(minSilence, time.Duration(silenceFactor*latency))
+}
+
+// slowestKind returns the highest average latency of a kind, in nanoseconds.
+func (t *Table) slowestKind() float64 {
+	slowest := 0.0
+	for _, latency := range t.kindLatencies {
+		slowest = math.Max(slowest, latency)
+	}
+
+	return slowest
+}
+
 // recordKindThreshold stores the reported rank below which calls of the kind fail on any node, as their nested calls are refused.
 func (t *Table) recordKindThreshold(now time.Time, s Sample) {
 	if s.Feedback == nil || s.Kind == "" {
@@ -227,14 +243,14 @@
 	t.kindThresholds[s.Kind] = call.NewDecayingThreshold(now, s.Feedback.KindThreshold)
 }
 
-// collectCandidates collects the eligible targets whose ejection state equals ejected. It returns the lowest threshold among
-// those left out because the rank is below their threshold, zero if there are none.
-func (t *Table) collectCandidates(now time.Time, q Query, ejected bool) call.Rank {
+// collectCandidates collects the eligible targets that are to be avoided, because they are ejected or silent, or those that are not. It
+// returns the lowest threshold among those left out because the rank is below their threshold, zero if there are none.
+func (t *Table) collectCandidates(now time.Time, q Query, avoided bool) call.Rank {
 	t.nearTargets = t.nearTargets[:0]
 	t.farTargets = t.farTargets[:0]
 	below := call.Rank(0)
 	for _, candidate := range t.targets {
-		if !t.eligible(now, candidate, q) || candidate.ejected(now) != ejected {
+		if !t.eligible(now, candidate, q) || (candidate.ejected(now) || candidate.silent(now)) != avoided {
 			continue
 		}
 		if threshold := candidate.report.threshold.Rank(now); q.Rank < threshold {
--- a/pkg/route/target.go
+++ b/pkg/route/target.go
@@ -23,6 +23,10 @@
 	maxEjectTime = 30 * time.Second
 	// outlierFactor is how many times the mean failure rate of the others a target must exceed to be ejected.
 	outlierFactor = 2.0
+	// minSilence is the shortest time without any response after which a target counts as silent, and silenceFactor the multiple of the
+	// usual latency.
+	minSilence    = 500 * time.Millisecond
+	silenceFactor = 4
 )
 
 // Verdict classifies the result of an attempt as evidence about the health of its target.
@@ -71,6 +75,11 @@
 	Feedback *call.Feedback
 }
 
+// responded reports whether the target has responded to the attempt, be it with a refusal or an error.
+func (s Sample) responded() bool {
+	return s.Verdict != VerdictNeutral || s.Feedback != nil
+}
+
 // report is the load that a target reported with its last response.
 type report struct {
 	receivedAt time.Time
@@ -99,6 +108,11 @@
 	slownessAverage   float64
 	slownessUpdatedAt time.Time
 
+	// silentAfter is the time at which the target counts as silent if attempts are in flight and it has not responded to any. It stays
+	// in force while givenUp is true: attempts have ended without a response after it.
+	silentAfter time.Time
+	givenUp     bool
+
 	// consecutive counts the faults since the last success.
 	consecutive  int
 	ejectedUntil time.Time
@@ -118,6 +132,31 @@
 	return now.Before(t.ejectedUntil)
 }
 
+// begin counts an attempt to which the target, if it responds at all, responds within the given time.
+func (t *target) begin(now time.Time, silence time.Duration) {
+	if due := now.Add(silence); t.inflight == 0 && !t.givenUp || due.Before(t.silentAfter) {
+		t.silentAfter = due
+	}
+	t.inflight++
+}
+
+// end counts the end of an attempt. If the target has responded, other responses are due within the given time.
+func (t *target) end(now time.Time, responded bool, silence time.Duration) {
+	switch {
+	case responded:
+		t.silentAfter, t.givenUp = now.Add(silence), false
+	case t.silent(now):
+		t.givenUp = true
+	}
+	t.inflight = max(t.inflight-1, 0)
+}
+
+// silent reports whether the target has stopped responding, as a node does that is frozen or cut off. A silent target gets one attempt
+// at a time until it responds, whatever becomes of the attempts that are in flight there.
+func (t *target) silent(now time.Time) bool {
+	return t.inflight > 0 && now.After(t.silentAfter)
+}
+
 // warmUpWeight returns the share of its full load that a target may take while it ramps up, 1 after that.
 func (t *target) warmUpWeight(now time.Time, slowStart time.Duration) float64 {
 	if t.entry.State == member.StateWarming {
