Count calls that time out as slow ones when a target is chosen

Only calls with a response counted for the slowness of a target, so that the few that came in time made it look usual; and slowness only multiplied a load that looks small where hardly any response, and so hardly any report, comes back. A slow target in the own data centre kept its calls until its cost reached the bound for spilling.

Change: pkg/route takes a call that ended before its response for one that took as long at least, unless the target is silent; slowness adds to the cost by itself; a near target that is half as slow again as others gives calls to far ones.

TestTargetWhoseCallsTimeOutIsSlow: 189 calls to the slow one and 67 to a healthy one before; TestSlowNearTargetGivesCallsToFarOnes: 500 of 500 before.

--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -175,7 +175,10 @@
 		// a node keeps the running calls below its backend server's slots, so a backend server that sheds calls is faulty
 		verdict = route.VerdictFault
 	}
-	sample := route.Sample{Verdict: verdict, Kind: r.route.Name, Latency: latency}
+	sample := route.Sample{
+		Verdict: verdict, Kind: r.route.Name, Latency: latency,
+		Unfinished: report.Reason == call.ReasonDeadline || report.Reason == call.ReasonCancelled,
+	}
 	if r.front.picker.done(now, r.service, chosen, sample, feedback) {
 		r.traceDecision(trace.StepEject, chosen.ID, report.Outcome, report.Reason, "")
 	}
--- a/pkg/route/silent_test.go
+++ b/pkg/route/silent_test.go
@@ -22,9 +22,9 @@
 
 // flight is an attempt that ends at a time, with or without a response.
 type flight struct {
-	endsAt    time.Time
-	id        string
-	responded bool
+	endsAt  time.Time
+	id      string
+	latency time.Duration
 }
 
 // player sends calls at a rate to targets that respond after a latency, if they respond at all.
@@ -33,6 +33,8 @@
 	table   *route.Table
 	now     time.Time
 	flights []flight
+	// interval is the time between calls.
+	interval time.Duration
 	// latency returns the latency of the target, patience or more for one that doesn't respond.
 	latency func(id string, now time.Time) time.Duration
 	// lastResorts counts the calls for which all targets were avoided.
@@ -43,7 +45,7 @@
 func (p *player) play(span time.Duration) map[string]int {
 	p.t.Helper()
 	counts := map[string]int{}
-	for until := p.now.Add(span); p.now.Before(until); p.now = p.now.Add(callInterval) {
+	for until := p.now.Add(span); p.now.Before(until); p.now = p.now.Add(p.interval) {
 		var left []flight
 		for _, each := range p.flights {
 			if each.endsAt.After(p.now) {
@@ -51,10 +53,10 @@
 
 				continue
 			}
-			sample := route.Sample{Verdict: route.VerdictNeutral, Kind: "read"}
-			if each.responded {
+			sample := route.Sample{Verdict: route.VerdictNeutral, Kind: "read", Latency: patience, Unfinished: true}
+			if each.latency < patience {
 				sample = route.Sample{
-					Verdict: route.VerdictOK, Kind: "read", Latency: p.latency(each.id, p.now),
+					Verdict: route.VerdictOK, Kind: "read", Latency: each.latency,
 					Feedback: &call.Feedback{Inflight: loadOfOthers, Limit: slots, State: string(member.StateServing)},
 				}
 			}
@@ -68,7 +70,7 @@
 			p.lastResorts++
 		}
 		latency := p.latency(choice.Entry.ID, p.now)
-		p.flights = append(p.flights, flight{endsAt: p.now.Add(min(latency, patience)), id: choice.Entry.ID, responded: latency < patience})
+		p.flights = append(p.flights, flight{endsAt: p.now.Add(min(latency, patience)), id: choice.Entry.ID, latency: latency})
 	}
 
 	return counts
@@ -81,7 +83,7 @@
 		entries[i].Slots = slots
 	}
 
-	return &player{t: t, table: table(entries), now: start, latency: latency}
+	return &player{t: t, table: table(entries), now: start, interval: callInterval, latency: latency}
 }
 
 // A node is frozen for four seconds while its connections stay open. It gets what an entry node sends before it can know, then one
@@ -137,3 +139,36 @@
 		require.Equal(t, route.ReasonNear, choice.Reason)
 	}
 }
+
+// A backend server is so slow that most of its calls end at their deadline, and responds to a few others at once.
+func TestTargetWhoseCallsTimeOutIsSlow(t *testing.T) {
+	calls := 0
+	p := newPlayer(t, members("a", "a", "a"), func(id string, now time.Time) time.Duration {
+		if calls++; id == "n1" && now.After(start.Add(time.Second)) && calls%5 != 0 {
+			return patience
+		}
+
+		return usualLatency
+	})
+	require.Greater(t, p.play(time.Second)["n1"], 20)
+	// one of many entry nodes, with few calls in flight at a time
+	p.interval = 10 * callInterval
+	p.play(4 * time.Second)
+	counts := p.play(20 * time.Second)
+	require.Less(t, counts["n1"]*3, counts["n0"])
+}
+
+// The only near backend server is slow while little is asked of it, and far ones are well.
+func TestSlowNearTargetGivesCallsToFarOnes(t *testing.T) {
+	p := newPlayer(t, members("a", "b", "b"), func(id string, now time.Time) time.Duration {
+		if id == "n0" && now.After(start.Add(time.Second)) {
+			return 8 * usualLatency
+		}
+
+		return usualLatency
+	})
+	require.Equal(t, 100, p.play(time.Second)["n0"])
+	p.play(2 * time.Second)
+	counts := p.play(5 * time.Second)
+	require.Less(t, counts["n0"], counts["n1"]+counts["n2"])
+}
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -24,6 +24,8 @@
 const (
 	// farCostMargin is how much less than the near target a far target must cost to be chosen.
 	farCostMargin = 0.1
+	// spillSlowness is the slowness of a near target from which far targets are considered.
+	spillSlowness = 1.5
 	// maxKinds bounds the kinds of request for which a table keeps thresholds and latencies.
 	maxKinds = 256
 	// maxDrainReportAge is how long a target is skipped after it reported that it drains, unless membership confirms it.
@@ -178,10 +180,13 @@
 	if !found || executing.entry.Incarnation != incarnation {
 		return false
 	}
+	silent := executing.silent(now)
 	executing.end(now, s.responded(), t.silenceFor(t.slowestKind()))
 	executing.record(now, s)
 	t.recordKindThreshold(now, s)
-	t.recordLatency(now, executing, s)
+	if !silent {
+		t.recordLatency(now, executing, s)
+	}
 	if s.Verdict != VerdictFault {
 		// A success at a low failure rate shortens the next ejection again.
 		if s.Verdict == VerdictOK && executing.ejections > 0 && !executing.ejected(now) &&
@@ -195,13 +200,22 @@
 	return t.eject(now, executing)
 }
 
-// recordLatency updates the average latency of the kind, and the slowness of the target relative to that average.
+// recordLatency updates the average latency of the kind, and the slowness of the target relative to that average. An attempt that ended
+// without a response would have taken longer still: it counts if it has already taken longer than usual. Otherwise a target that is too
+// slow for most of its calls would be known by the few that it responded to in time.
 func (t *Table) recordLatency(now time.Time, executing *target, s Sample) {
-	if s.Verdict != VerdictOK || s.Latency <= 0 {
+	if s.Latency <= 0 || s.Verdict != VerdictOK && !s.Unfinished {
 		return
 	}
 	latency := float64(s.Latency)
 	mean, found := t.kindLatencies[s.Kind]
+	if s.Verdict != VerdictOK {
+		if found && latency > mean {
+			executing.recordLatencyRatio(now, latency/mean)
+		}
+
+		return
+	}
 	if !found {
 		if len(t.kindLatencies) >= maxKinds {
 			clear(t.kindLatencies)
@@ -284,15 +298,16 @@
 	return !slices.Contains(q.Exclude, entry.ID)
 }
 
-// pickByDataCentre prefers a near target. Once the cost of that target reaches SpillAt, a far one is chosen if it costs less
-// by farCostMargin.
+// pickByDataCentre prefers a near target. Once the cost of that target reaches SpillAt, or it is much slower than others, a far one is
+// chosen if it costs less by farCostMargin.
 func (t *Table) pickByDataCentre(now time.Time) Choice {
 	count := len(t.nearTargets) + len(t.farTargets)
 	if len(t.nearTargets) == 0 {
 		return t.pickOfTwo(now, t.farTargets, ReasonFar, count)
 	}
 	near := t.pickOfTwo(now, t.nearTargets, ReasonNear, count)
-	if near.Cost < t.settings.SpillAt || len(t.farTargets) == 0 {
+	slow := t.byID[near.Entry.ID].slowness(now) >= spillSlowness
+	if len(t.farTargets) == 0 || near.Cost < t.settings.SpillAt && !slow {
 		return near
 	}
 	far := t.pickOfTwo(now, t.farTargets, ReasonSpill, count)
--- a/pkg/route/target.go
+++ b/pkg/route/target.go
@@ -16,6 +16,8 @@
 	failureHalfLife  = time.Second
 	// failureCostWeight makes a target that always fails cost more than one at its limit.
 	failureCostWeight = 2.0
+	// slownessCostWeight makes a target that is two and a half times as slow as others cost more than an idle one far away.
+	slownessCostWeight = 0.2
 	// minWarmUpWeight is the weight with which the ramp-up of a target starts, as a share of its full weight.
 	minWarmUpWeight = 0.1
 	// defaultLimit is the concurrency limit assumed for a target whose limit is unknown.
@@ -71,6 +73,8 @@
 	Kind    string
 	// Latency is the time until the response was complete, zero to leave it out of the averages of the kind.
 	Latency time.Duration
+	// Unfinished says that the attempt ended before the backend server had responded, at its deadline or because the caller left.
+	Unfinished bool
 	// Feedback is the feedback of the executing node, nil for none.
 	Feedback *call.Feedback
 }
@@ -214,10 +218,13 @@
 	t.slownessUpdatedAt = now
 }
 
-// cost returns the cost by which targets are compared. Failures add to it, as a target that fails fast would otherwise look
-// idle and attract calls.
+// cost returns the cost by which targets are compared. Failures and slowness add to it, as a target that fails fast, or responds to few
+// calls in time, would otherwise look idle and attract calls.
 func (t *target) cost(now time.Time, slowStart time.Duration) float64 {
-	return t.utilisation(now)*t.slowness(now)/t.warmUpWeight(now, slowStart) + failureCostWeight*t.failureRate(now)
+	slowness := t.slowness(now)
+
+	return t.utilisation(now)*slowness/t.warmUpWeight(now, slowStart) + failureCostWeight*t.failureRate(now) +
+		slownessCostWeight*math.Max(slowness-1, 0)
 }
 
 // record updates the target with the result of an attempt.
