Keep background work going after a panic

Cause: a panic in a loop of the background (gossip rounds, contacts, routes, settings, saved rows, the guard's tick) ended the process, as docs/PROMISES.md listed. A row of the store or an entry of another node that brings one about would have ended every node in turn.

No change without a panic.

--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -170,3 +171,43 @@
 	}, waitTimeout, pollInterval)
 	require.Equal(t, member.StateSuspect, stateOf(instances[0], "n1"))
 }
+
+// panickingTable is a table service whose rows bring about an unexpected error each time.
+type panickingTable struct {
+	done  chan error
+	lists atomic.Int64
+}
+
+func (*panickingTable) String() string { return store.Name }
+
+func (p *panickingTable) Start(context.Context, *kernel.Kernel) (<-chan error, error) {
+	return p.done, nil
+}
+
+func (p *panickingTable) Stop(context.Context) error {
+	p.done <- nil
+
+	return nil
+}
+
+func (*panickingTable) Configured() bool { return true }
+
+func (*panickingTable) Put(context.Context, string, []byte, string) (string, error) { return "", nil }
+
+func (*panickingTable) Delete(context.Context, string, string) error { return nil }
+
+func (p *panickingTable) List(context.Context, string, string) ([]store.Row, error) {
+	p.lists.Add(1)
+	panic("unexpected row")
+}
+
+func (*panickingTable) Era() (uint64, <-chan struct{}) { return 0, nil }
+
+func TestPanicInBackgroundWorkEndsNoNode(t *testing.T) {
+	table := &panickingTable{done: make(chan error, 1)}
+	first := start(t, gossip.Options{Self: member.Entry{ID: "n0", Incarnation: 1}}, table)
+	require.Eventually(t, func() bool { return table.lists.Load() > 1 }, waitTimeout, pollInterval)
+	second := start(t, gossip.Options{Self: member.Entry{ID: "n1", Incarnation: 1}, Seeds: []string{first.address}})
+	require.Eventually(t, func() bool { return stateOf(first, "n1") == member.StateServing }, waitTimeout, pollInterval)
+	require.Equal(t, member.StateServing, stateOf(second, "n0"))
+}
--- a/internal/gossip/loop.go
+++ b/internal/gossip/loop.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pistachiotack/pistachiotack/internal/kernel"
+	"github.com/pistachiotack/pistachiotack/internal/loops"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
 )
 
@@ -79,7 +80,12 @@
 func (g *Gossip) execute(ctx context.Context, actions []member.Action) {
 	for _, action := range actions {
 		g.calls.TryGo(func() error {
-			g.execute(ctx, g.call(ctx, action))
+			// the error has been logged, and a call that fails is made again in a later round
+			_ = loops.Do(ctx, g.options.Log, "gossip call", func(ctx context.Context) error {
+				g.execute(ctx, g.call(ctx, action))
+
+				return nil
+			})
 
 			return nil
 		})
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -12,6 +12,7 @@
 	"github.com/pistachiotack/pistachiotack/internal/budget"
 	"github.com/pistachiotack/pistachiotack/internal/kernel"
 	"github.com/pistachiotack/pistachiotack/internal/listen"
+	"github.com/pistachiotack/pistachiotack/internal/loops"
 	"github.com/pistachiotack/pistachiotack/internal/meter"
 	"github.com/pistachiotack/pistachiotack/internal/relay"
 	"github.com/pistachiotack/pistachiotack/internal/trace"
@@ -249,7 +250,12 @@
 		case <-ctx.Done():
 			return
 		case now := <-ticker.C:
-			g.tick(now)
+			// the error has been logged, and the next tick is due soon
+			_ = loops.Do(ctx, g.options.Log, "tick of the guard", func(context.Context) error {
+				g.tick(now)
+
+				return nil
+			})
 		}
 	}
 }
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/pistachiotack/pistachiotack/internal/kernel"
+	"github.com/pistachiotack/pistachiotack/internal/loops"
 	"github.com/pistachiotack/pistachiotack/internal/store"
 	"github.com/pistachiotack/pistachiotack/internal/trace"
 	"github.com/pistachiotack/pistachiotack/pkg/call"
@@ -170,10 +171,10 @@
 	}
 	ctx, h.cancel = context.WithCancel(ctx)
 	h.loops, ctx = errgroup.WithContext(ctx)
-	h.loops.Go(func() error { return runPeriodically(ctx, h.options.PollInterval, h.pollTable) })
-	h.loops.Go(func() error { return runPeriodically(ctx, h.options.ExchangeInterval, h.exchangeWithRandomNode) })
-	h.loops.Go(func() error { return runPeriodically(ctx, leaseCheckInterval, h.expireLease) })
-	h.loops.Go(func() error { return h.propagateLoop(ctx) })
+	h.runPeriodically(ctx, "settings from the table", h.options.PollInterval, h.pollTable)
+	h.runPeriodically(ctx, "settings from other nodes", h.options.ExchangeInterval, h.exchangeWithRandomNode)
+	h.runPeriodically(ctx, "lease of a trial", leaseCheckInterval, h.expireLease)
+	h.loops.Go(func() error { return loops.Keep(ctx, h.options.Log, "settings to other nodes", h.propagateLoop) })
 	go func() { h.done <- h.loops.Wait() }()
 
 	return h.done, nil
@@ -211,9 +212,16 @@
 	return nil
 }
 
-// runPeriodically runs the step at random intervals between half and one and a half times the interval, until the context ends.
+// runPeriodically runs the step in the background at jittered intervals until the context ends.
+func (h *Holder) runPeriodically(ctx context.Context, name string, interval time.Duration, step func(context.Context) bool) {
+	h.loops.Go(func() error {
+		return loops.Keep(ctx, h.options.Log, name, func(ctx context.Context) error { return repeat(ctx, interval, step) })
+	})
+}
+
+// repeat runs the step at random intervals between half and one and a half times the interval, until the context ends.
 // It waits at most initialRetryInterval until the step has succeeded once.
-func runPeriodically(ctx context.Context, interval time.Duration, step func(context.Context) bool) error {
+func repeat(ctx context.Context, interval time.Duration, step func(context.Context) bool) error {
 	wait := time.Duration(rand.Int64N(int64(min(initialRetryInterval, interval))))
 	succeeded := false
 	for {
--- a/internal/resume/resume.go
+++ b/internal/resume/resume.go
@@ -9,6 +9,7 @@
 
 	"github.com/pistachiotack/pistachiotack/internal/demand"
 	"github.com/pistachiotack/pistachiotack/internal/kernel"
+	"github.com/pistachiotack/pistachiotack/internal/loops"
 	"github.com/pistachiotack/pistachiotack/internal/rules"
 	"github.com/pistachiotack/pistachiotack/internal/store"
 	"github.com/pistachiotack/pistachiotack/internal/waits"
@@ -128,9 +129,17 @@
 	ctx, r.cancel = context.WithCancel(ctx)
 	done := make(chan error, 1)
 	go func() {
-		r.restore(ctx)
-		r.run(ctx)
-		done <- nil
+		// the error has been logged, and what is not restored is learned from heartbeats
+		_ = loops.Do(ctx, r.log, "restore", func(ctx context.Context) error {
+			r.restore(ctx)
+
+			return nil
+		})
+		done <- loops.Keep(ctx, r.log, "save", func(ctx context.Context) error {
+			r.run(ctx)
+
+			return nil
+		})
 	}()
 
 	return done, nil
@@ -146,7 +155,12 @@
 // restore loads the node's row and restores the state from it.
 func (r *Resume) restore(ctx context.Context) {
 	_, lost := r.table.Era()
-	saved, err := r.load(ctx)
+	var saved state
+	err := loops.Do(ctx, r.log, "load", func(ctx context.Context) (err error) {
+		saved, err = r.load(ctx)
+
+		return err
+	})
 	r.holder.Restore(r.pastRoutes(saved))
 	if err != nil {
 		r.log.LogAttrs(ctx, slog.LevelWarn, "saved state of the backend server not loaded", slog.String("error", err.Error()))
