--- a/internal/heads/reader.go
+++ b/internal/heads/reader.go
@@ -27,25 +27,26 @@
 // unfold returns the bytes with the folded lines of the head joined, and everything else unchanged and in its place.
 func unfold(buffered []byte) []byte {
 	head := buffered
-	position := 0
+	next := 0
 	for startLine := true; ; {
-		end := bytes.IndexByte(buffered[position:], '\n')
-		if end < 0 {
+		begin := next
+		length := bytes.IndexByte(buffered[begin:], '\n')
+		if length < 0 {
 			return head
 		}
-		line := bytes.TrimSuffix(buffered[position:position+end], []byte{'\r'})
-		position += end + 1
+		line := bytes.TrimSuffix(buffered[begin:begin+length], []byte{'\r'})
+		next = begin + length + 1
 		switch {
 		case startLine:
 			// empty lines before the start line are skipped
 			startLine = len(line) == 0
-		case len(line) == 0 || position == len(buffered):
+		case len(line) == 0 || next == len(buffered):
 			return head
-		case isSpace(buffered[position]):
+		case isSpace(buffered[next]):
 			if &head[0] == &buffered[0] {
 				head = bytes.Clone(buffered)
 			}
-			for i := position - end - 1 + len(line); i <= position; i++ {
+			for i := begin + len(line); i <= next; i++ {
 				head[i] = ' '
 			}
 		}
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -185,6 +185,7 @@
 	executing.record(now, s)
 	t.recordKindThreshold(now, s)
 	if !silent {
+		// otherwise the latency says for how long the target was silent, and not how slow it is
 		t.recordLatency(now, executing, s)
 	}
 	if s.Verdict != VerdictFault {
