Let a pinned attempt set the time of its target's response

Table.Begin, for an attempt at a target that Pick did not choose, counted it in flight without a time by which the target should respond, so that the target looked silent at once to other calls. No caller uses it at present.

Change: Begin takes the time.

--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -168,9 +168,9 @@
 
 // Begin counts an attempt as in flight on a target that Pick did not choose, such as the home of a once operation, the only
 // node incarnation that may run it.
-func (t *Table) Begin(id string, incarnation uint64) {
+func (t *Table) Begin(now time.Time, id string, incarnation uint64) {
 	if executing, found := t.byID[id]; found && executing.entry.Incarnation == incarnation {
-		executing.inflight++
+		executing.begin(now, t.silenceFor(t.slowestKind()))
 	}
 }
 
