Leave a stopping node time to end its services

Since the only node of a service accepts calls for half of the grace time, and the wait without requests of 0.3 s comes after it: 0.1 s was left to end the services.

Change: that wait is part of the half; the earliest time goes before the latest.

Figures: TestStopOfTheOnlyNodeLeavesTimeToEnd failed before, passes now; TestServiceIsServedWhileAllItsNodesAreStopped still passes, with 2.7 s of 6 s.

--- a/internal/routed/node.go
+++ b/internal/routed/node.go
@@ -216,7 +216,8 @@
 func (n *Node) waitForTurn(ctx context.Context, stopStartedAt time.Time) {
 	limits := leave.Limits{
 		Earliest: min(backendDrainDelay, n.graceDeadline(stopStartedAt, maxBackendDrainShare).Sub(stopStartedAt)),
-		Latest:   n.graceDeadline(stopStartedAt, maxHandoverShare).Sub(stopStartedAt),
+		// minIdleTime passes afterwards in any case
+		Latest: n.graceDeadline(stopStartedAt, maxHandoverShare).Add(-minIdleTime).Sub(stopStartedAt),
 	}
 	self := n.gossip.Self()
 	if self.State != member.StateServing {
--- a/pkg/leave/stop.go
+++ b/pkg/leave/stop.go
@@ -31,11 +31,9 @@
 // goes after it.
 func (l Limits) Due(elapsed time.Duration, own Stop, staying int, stopping []Stop) bool {
 	switch {
-	case elapsed >= l.Latest:
-		return true
 	case elapsed < l.Earliest:
 		return false
-	case staying > 0:
+	case elapsed >= l.Latest || staying > 0:
 		return true
 	}
 	for _, other := range stopping {
