Bound the probes of a survivor, and know response times without a scan

A node that is left alone of 400 called all others in every gossip interval, each call with a digest over all entries: 13,566 calls in ten seconds. Each finished attempt went through the average latencies of up to 256 kinds to find the slowest.

Change: at most eight probes of ended nodes in an interval; a target keeps the longest response time of its attempts in flight. The probe is called a probe.

Figures: TestSurvivorProbesFewNodesAtATime, 13,566 calls before, at most 504 now.

--- a/pkg/member/fleet.go
+++ b/pkg/member/fleet.go
@@ -49,7 +49,7 @@
 	sync    time.Time
 	relay   time.Time
 	revisit time.Time
-	recall  time.Time
+	ended   time.Time
 	expire  time.Time
 }
 
@@ -73,7 +73,7 @@
 		sync:    now.Add(f.jitter(options.ProbeInterval)),
 		relay:   now.Add(f.jitter(options.RelayInterval)),
 		revisit: now,
-		recall:  now,
+		ended:   now,
 		expire:  now.Add(options.SuspectTimeout),
 	}
 	f.put(f.self, now)
--- a/pkg/member/fleet_test.go
+++ b/pkg/member/fleet_test.go
@@ -371,7 +371,7 @@
 func TestNodeThatStaysAwayCostsFewCalls(t *testing.T) {
 	const span = 10 * time.Second
 	// one call in every gossip interval, and a fifth more by chance
-	const maxRecalls = 60
+	const maxProbes = 60
 	for _, count := range []int{13, 96} {
 		t.Run(fmt.Sprint(count), func(t *testing.T) {
 			sim := newSimulation(1, member.Options{})
@@ -390,9 +390,29 @@
 			}
 			sent := calls()
 			require.NotZero(t, sent)
-			require.LessOrEqual(t, sent, maxRecalls)
+			require.LessOrEqual(t, sent, maxProbes)
 			sim.run(time.Minute, nil)
 			require.Less(t, calls(), count)
 		})
 	}
 }
+
+// TestSurvivorProbesFewNodesAtATime leaves one node of many: it must not call all others in each gossip interval.
+func TestSurvivorProbesFewNodesAtATime(t *testing.T) {
+	const count, perInterval = 400, 8
+	sim := newSimulation(2, member.Options{})
+	sim.addConverged(count, 2)
+	sim.run(time.Second, nil)
+	for _, n := range sim.nodes[1:] {
+		require.NoError(t, n.fleet.SetState(sim.now, member.StateDraining))
+		require.NoError(t, n.fleet.SetState(sim.now, member.StateLeft))
+	}
+	sim.run(2*time.Second, nil)
+	for _, n := range sim.nodes[1:] {
+		n.stop()
+	}
+	sent := sim.sent
+	sim.run(10*time.Second, nil)
+	// two calls a second at most for contacts, old entries and digests
+	require.LessOrEqual(t, sim.sent-sent, 10*(5*perInterval+2)*6/5)
+}
--- a/pkg/member/tick.go
+++ b/pkg/member/tick.go
@@ -22,8 +22,8 @@
 	if due(&f.schedule.revisit, now, f.revisitInterval()) {
 		actions = append(actions, f.revisit(now)...)
 	}
-	if due(&f.schedule.recall, now, f.jitter(f.options.GossipInterval)) {
-		actions = append(actions, f.recallEnded(now)...)
+	if due(&f.schedule.ended, now, f.jitter(f.options.GossipInterval)) {
+		actions = append(actions, f.probeEnded(now)...)
 	}
 	if due(&f.schedule.expire, now, f.options.ProbeInterval) {
 		f.expireSuspects(now)
@@ -174,12 +174,16 @@
 	return f.pick(callable) == nil
 }
 
-// recallTime is how long a node that has ended is called often, because most restarts take less.
-const recallTime = 30 * time.Second
+const (
+	// endedProbeTime is how long a node that has ended is probed often, because most restarts take less.
+	endedProbeTime = 30 * time.Second
+	// maxEndedProbes bounds the probes of a node in a gossip interval, when few are left of many.
+	maxEndedProbes = 8
+)
 
-// recallEnded calls nodes that left or died within recallTime. A node that restarts while the platform's table is away knows no other
+// probeEnded calls nodes that left or died within endedProbeTime. A node that restarts while the platform's table is away knows no other
 // node and can only be found at its address. On average one node of the fleet calls each address in every gossip interval.
-func (f *Fleet) recallEnded(now time.Time) []Action {
+func (f *Fleet) probeEnded(now time.Time) []Action {
 	live := 0
 	var ended []*Entry
 	for _, id := range f.ids {
@@ -187,13 +191,14 @@
 		switch {
 		case alive(rec.entry):
 			live++
-		case rec.entry.Control != "" && f.age(rec, now) < recallTime:
+		case rec.entry.Control != "" && f.age(rec, now) < endedProbeTime:
 			ended = append(ended, rec.entry)
 		}
 	}
+	f.random.Shuffle(len(ended), func(i, j int) { ended[i], ended[j] = ended[j], ended[i] })
 	var actions []Action
 	for _, entry := range ended {
-		if f.random.Float64()*float64(live) < 1 {
+		if len(actions) < maxEndedProbes && f.random.Float64()*float64(live) < 1 {
 			actions = append(actions, f.syncWith(now, entry.ID, entry.Control))
 		}
 	}
--- a/pkg/route/table.go
+++ b/pkg/route/table.go
@@ -1,7 +1,6 @@
 package route
 
 import (
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -161,16 +160,16 @@
 	if reason != "" {
 		choice.Reason = reason
 	}
-	t.byID[choice.Entry.ID].begin(now, t.silenceFor(t.kindLatencies[q.Kind]))
+	t.byID[choice.Entry.ID].begin(now, t.responseTime(q.Kind))
 
 	return choice, nil
 }
 
 // Begin counts an attempt as in flight on a target that Pick did not choose, such as the home of a once operation, the only
 // node incarnation that may run it.
-func (t *Table) Begin(now time.Time, id string, incarnation uint64) {
+func (t *Table) Begin(now time.Time, id string, incarnation uint64, kind string) {
 	if executing, found := t.byID[id]; found && executing.entry.Incarnation == incarnation {
-		executing.begin(now, t.silenceFor(t.slowestKind()))
+		executing.begin(now, t.responseTime(kind))
 	}
 }
 
@@ -181,7 +180,7 @@
 		return false
 	}
 	silent := executing.silent(now)
-	executing.end(now, s.responded(), t.silenceFor(t.slowestKind()))
+	executing.end(now, s.responded())
 	executing.record(now, s)
 	t.recordKindThreshold(now, s)
 	if !silent {
@@ -227,19 +226,9 @@
 	executing.recordLatencyRatio(now, latency/mean)
 }
 
-// silenceFor returns the time without any response after which a target counts as silent, given the usual latency in nanoseconds.
-func (t *Table) silenceFor(latency float64) time.Duration {
-	return max(minSilence, time.Duration(silenceFactor*latency))
-}
-
-// slowestKind returns the highest average latency of a kind, in nanoseconds.
-func (t *Table) slowestKind() float64 {
-	slowest := 0.0
-	for _, latency := range t.kindLatencies {
-		slowest = math.Max(slowest, latency)
-	}
-
-	return slowest
+// responseTime returns the time without any response after which the target of an attempt of the kind counts as silent.
+func (t *Table) responseTime(kind string) time.Duration {
+	return max(minSilence, time.Duration(silenceFactor*t.kindLatencies[kind]))
 }
 
 // recordKindThreshold stores the reported rank below which calls of the kind fail on any node, as their nested calls are refused.
--- a/pkg/route/table_test.go
+++ b/pkg/route/table_test.go
@@ -141,7 +141,7 @@
 		return route.Sample{Verdict: route.VerdictOK, Feedback: &call.Feedback{Threshold: call.ClassHigh.MinRank(), Limit: 10}}
 	}
 	for _, id := range []string{"n0", "n1"} {
-		table.Begin(start, id, 1)
+		table.Begin(start, id, 1, "")
 		table.Done(start, id, 1, loaded(id))
 	}
 	_, refusal := table.Pick(start, anyCall)
@@ -156,7 +156,7 @@
 
 func TestDrainingTargetsGetNoCalls(t *testing.T) {
 	table := table(members("a", "a"))
-	table.Begin(start, "n0", 1)
+	table.Begin(start, "n0", 1, "")
 	table.Done(start, "n0", 1, route.Sample{Verdict: route.VerdictFor(call.OutcomeNotRun, call.ReasonDraining)})
 	counts := run(t, table, start, 100, ok)
 	require.Equal(t, 100, counts["n1"])
@@ -196,7 +196,7 @@
 
 	one := table(members("a", "a", "a", "a"))
 	for range 5 {
-		one.Begin(start, "n2", 1)
+		one.Begin(start, "n2", 1, "")
 		one.Done(start, "n2", 1, fault(""))
 	}
 	require.Equal(t, []string{"n2"}, one.Ejected(start))
--- a/pkg/route/target.go
+++ b/pkg/route/target.go
@@ -16,7 +16,7 @@
 	failureHalfLife  = time.Second
 	// failureCostWeight makes a target that always fails cost more than one at its limit.
 	failureCostWeight = 2.0
-	// slownessCostWeight makes a target that is two and a half times as slow as others cost more than an idle one far away.
+	// slownessCostWeight makes a target that is half as slow again as others cost as much more as a far one.
 	slownessCostWeight = 0.2
 	// minWarmUpWeight is the weight with which the ramp-up of a target starts, as a share of its full weight.
 	minWarmUpWeight = 0.1
@@ -116,6 +116,8 @@
 	// in force while givenUp is true: attempts have ended without a response after it.
 	silentAfter time.Time
 	givenUp     bool
+	// responseTime is the longest time in which one of the attempts in flight should get a response.
+	responseTime time.Duration
 
 	// consecutive counts the faults since the last success.
 	consecutive  int
@@ -137,18 +139,22 @@
 }
 
 // begin counts an attempt to which the target, if it responds at all, responds within the given time.
-func (t *target) begin(now time.Time, silence time.Duration) {
-	if due := now.Add(silence); t.inflight == 0 && !t.givenUp || due.Before(t.silentAfter) {
+func (t *target) begin(now time.Time, responseTime time.Duration) {
+	if due := now.Add(responseTime); t.inflight == 0 && !t.givenUp || due.Before(t.silentAfter) {
 		t.silentAfter = due
 	}
+	if t.inflight == 0 {
+		t.responseTime = 0
+	}
+	t.responseTime = max(t.responseTime, responseTime)
 	t.inflight++
 }
 
-// end counts the end of an attempt. If the target has responded, other responses are due within the given time.
-func (t *target) end(now time.Time, responded bool, silence time.Duration) {
+// end counts the end of an attempt. If the target has responded, responses to the attempts in flight are due from now on.
+func (t *target) end(now time.Time, responded bool) {
 	switch {
 	case responded:
-		t.silentAfter, t.givenUp = now.Add(silence), false
+		t.silentAfter, t.givenUp = now.Add(t.responseTime), false
 	case t.silent(now):
 		t.givenUp = true
 	}
