State the limits of a stop in pkg/leave, and test them without a clock

The bounds of a stop stood in internal/routed and the decision in pkg/leave; TestStopOfTheOnlyNodeLeavesTimeToEnd measured real time with 55 ms to spare, so that load alone could fail it.

Change: leave.NewLimits. The test is replaced by TestTheLastNodeLeavesHalfOfItsGracePeriod, as strict: it states for each grace period what the other saw at one, and fails on the limits before.

--- a/internal/routed/node.go
+++ b/internal/routed/node.go
@@ -173,11 +173,6 @@
 	// maxDeregistrationShare of the grace period.
 	deregistrationDelay    = 2500 * time.Millisecond
 	maxDeregistrationShare = 0.6
-	// backendDrainDelay is how long the node keeps accepting calls for its backend server, which may outlive the node, at most
-	// maxBackendDrainShare of the grace period, or up to maxHandoverShare of it while no other node of the service accepts calls.
-	backendDrainDelay    = 1500 * time.Millisecond
-	maxBackendDrainShare = 0.25
-	maxHandoverShare     = 0.5
 	// minIdleTime is how long no request must have been in progress before the node refuses new ones.
 	minIdleTime = 300 * time.Millisecond
 	// Shares of the grace period after which the node refuses new requests, stops waiting for those in progress, and has ended.
@@ -212,13 +207,9 @@
 	return errors.CombineErrors(n.gossip.SetState(member.StateLeft), n.started.Stop(stopCtx))
 }
 
-// waitForTurn waits until the node may refuse calls to its backend server.
+// waitForTurn waits until the node may refuse calls to its backend server, which may outlive the node.
 func (n *Node) waitForTurn(ctx context.Context, stopStartedAt time.Time) {
-	limits := leave.Limits{
-		Earliest: min(backendDrainDelay, n.graceDeadline(stopStartedAt, maxBackendDrainShare).Sub(stopStartedAt)),
-		// minIdleTime passes afterwards in any case
-		Latest: n.graceDeadline(stopStartedAt, maxHandoverShare).Add(-minIdleTime).Sub(stopStartedAt),
-	}
+	limits := leave.NewLimits(n.options.GracePeriod, minIdleTime)
 	self := n.gossip.Self()
 	if self.State != member.StateServing {
 		limits.Latest = limits.Earliest
--- a/pkg/leave/stop.go
+++ b/pkg/leave/stop.go
@@ -9,6 +9,21 @@
 	Latest   time.Duration
 }
 
+const (
+	// usualDelay is the time for which entry nodes may go on sending calls, at most usualShare of the grace period.
+	usualDelay = 1500 * time.Millisecond
+	usualShare = 0.25
+	// lastShare is the share of the grace period after which the last node of a service has refused calls and become idle.
+	lastShare = 0.5
+)
+
+// NewLimits returns the limits for a grace period, of which the node waits for idleTime without a request afterwards.
+func NewLimits(grace, idleTime time.Duration) Limits {
+	earliest := min(usualDelay, time.Duration(usualShare*float64(grace)))
+
+	return Limits{Earliest: earliest, Latest: max(earliest, time.Duration(lastShare*float64(grace))-idleTime)}
+}
+
 // Stop is a stop in progress, as the nodes of a service know it of each other.
 type Stop struct {
 	Node    string
--- a/pkg/leave/stop_test.go
+++ b/pkg/leave/stop_test.go
@@ -11,12 +11,14 @@
 )
 
 var (
-	limits = leave.Limits{Earliest: 1500 * time.Millisecond, Latest: 3 * time.Second}
+	limits = leave.NewLimits(grace, idleTime)
 	epoch  = time.Date(2026, 12, 1, 6, 0, 0, 0, time.UTC)
 )
 
 const (
-	step = 20 * time.Millisecond
+	grace    = 6 * time.Second
+	idleTime = 300 * time.Millisecond
+	step     = 20 * time.Millisecond
 	// knownAfter is the time until other nodes know of a change of state.
 	knownAfter = 350 * time.Millisecond
 	// runTime is the time for which admitted calls keep a node that refuses further ones, and restartTime the time from its end until
@@ -116,8 +118,8 @@
 		"another one goes sooner":      {1500 * time.Millisecond, 0, []leave.Stop{sooner}, false},
 		"at the same time, by name":    {1500 * time.Millisecond, 0, []leave.Stop{{Node: "c", BeganAt: epoch}}, true},
 		"at the same time, not yet":    {1500 * time.Millisecond, 0, []leave.Stop{{Node: "a", BeganAt: epoch}}, false},
-		"the last one":                 {2900 * time.Millisecond, 0, nil, false},
-		"the last one must go as well": {3 * time.Second, 0, nil, true},
+		"the last one":                 {2600 * time.Millisecond, 0, nil, false},
+		"the last one must go as well": {2700 * time.Millisecond, 0, nil, true},
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
@@ -125,3 +127,16 @@
 		})
 	}
 }
+
+// A node that waits longer than others, as the only one of its service, must be idle by half of its grace period, so that its services
+// have time to end.
+func TestTheLastNodeLeavesHalfOfItsGracePeriod(t *testing.T) {
+	for _, period := range []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, grace, time.Minute} {
+		own := leave.NewLimits(period, idleTime)
+		require.LessOrEqual(t, own.Earliest, period/4, "grace period %s", period)
+		require.GreaterOrEqual(t, own.Latest, own.Earliest, "grace period %s", period)
+		if own.Latest > own.Earliest {
+			require.LessOrEqual(t, own.Latest+idleTime, period/2, "grace period %s", period)
+		}
+	}
+}
