--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -10,7 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/pistachiotack/pistachiotack/internal/kernel"
-	"github.com/pistachiotack/pistachiotack/internal/loops"
+	"github.com/pistachiotack/pistachiotack/internal/panics"
 	"github.com/pistachiotack/pistachiotack/internal/store"
 	"github.com/pistachiotack/pistachiotack/pkg/config"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
@@ -142,9 +142,9 @@
 
 		return
 	}
-	g.loops.Go(func() error { return loops.Keep(ctx, g.options.Log, "gossip rounds", g.tickLoop) })
+	g.loops.Go(func() error { return panics.Keep(ctx, g.options.Log, "gossip rounds", g.tickLoop) })
 	if g.table != nil {
-		g.loops.Go(func() error { return loops.Keep(ctx, g.options.Log, "gossip contacts", g.contactLoop) })
+		g.loops.Go(func() error { return panics.Keep(ctx, g.options.Log, "gossip contacts", g.contactLoop) })
 	}
 	go func() {
 		err := g.loops.Wait()
--- a/internal/gossip/loop.go
+++ b/internal/gossip/loop.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/pistachiotack/pistachiotack/internal/kernel"
-	"github.com/pistachiotack/pistachiotack/internal/loops"
+	"github.com/pistachiotack/pistachiotack/internal/panics"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
 )
 
@@ -81,7 +81,7 @@
 	for _, action := range actions {
 		g.calls.TryGo(func() error {
 			// the error has been logged, and a call that fails is made again in a later round
-			_ = loops.Do(ctx, g.options.Log, "gossip call", func(ctx context.Context) error {
+			_ = panics.Do(ctx, g.options.Log, "gossip call", func(ctx context.Context) error {
 				g.execute(ctx, g.call(ctx, action))
 
 				return nil
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -12,8 +12,8 @@
 	"github.com/pistachiotack/pistachiotack/internal/budget"
 	"github.com/pistachiotack/pistachiotack/internal/kernel"
 	"github.com/pistachiotack/pistachiotack/internal/listen"
-	"github.com/pistachiotack/pistachiotack/internal/loops"
 	"github.com/pistachiotack/pistachiotack/internal/meter"
+	"github.com/pistachiotack/pistachiotack/internal/panics"
 	"github.com/pistachiotack/pistachiotack/internal/relay"
 	"github.com/pistachiotack/pistachiotack/internal/trace"
 	"github.com/pistachiotack/pistachiotack/internal/wire"
@@ -251,7 +251,7 @@
 			return
 		case now := <-ticker.C:
 			// the error has been logged, and the next tick is due soon
-			_ = loops.Do(ctx, g.options.Log, "tick of the guard", func(context.Context) error {
+			_ = panics.Do(ctx, g.options.Log, "tick of the guard", func(context.Context) error {
 				g.tick(now)
 
 				return nil
--- a/internal/holder/holder.go
+++ b/internal/holder/holder.go
@@ -11,7 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/pistachiotack/pistachiotack/internal/kernel"
-	"github.com/pistachiotack/pistachiotack/internal/loops"
+	"github.com/pistachiotack/pistachiotack/internal/panics"
 	"github.com/pistachiotack/pistachiotack/internal/store"
 	"github.com/pistachiotack/pistachiotack/internal/trace"
 	"github.com/pistachiotack/pistachiotack/pkg/call"
@@ -174,7 +174,7 @@
 	h.runPeriodically(ctx, "settings from the table", h.options.PollInterval, h.pollTable)
 	h.runPeriodically(ctx, "settings from other nodes", h.options.ExchangeInterval, h.exchangeWithRandomNode)
 	h.runPeriodically(ctx, "lease of a trial", leaseCheckInterval, h.expireLease)
-	h.loops.Go(func() error { return loops.Keep(ctx, h.options.Log, "settings to other nodes", h.propagateLoop) })
+	h.loops.Go(func() error { return panics.Keep(ctx, h.options.Log, "settings to other nodes", h.propagateLoop) })
 	go func() { h.done <- h.loops.Wait() }()
 
 	return h.done, nil
@@ -215,7 +215,7 @@
 // runPeriodically runs the step in the background at jittered intervals until the context ends.
 func (h *Holder) runPeriodically(ctx context.Context, name string, interval time.Duration, step func(context.Context) bool) {
 	h.loops.Go(func() error {
-		return loops.Keep(ctx, h.options.Log, name, func(ctx context.Context) error { return repeat(ctx, interval, step) })
+		return panics.Keep(ctx, h.options.Log, name, func(ctx context.Context) error { return repeat(ctx, interval, step) })
 	})
 }
 
--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"log/slog"
 	"net"
 	"os"
 	"sync"
@@ -13,6 +14,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pistachiotack/pistachiotack/pkg/order"
+
+	"github.com/pistachiotack/pistachiotack/internal/panics"
 )
 
 const (
@@ -32,11 +35,6 @@
 	maxLingerBytes = 256 << 10
 )
 
-// messageHandlerPanic is the message of the log line and the body of the response.
-const messageHandlerPanic = "panic while a request was handled"
-
-var errHandlerPanic = errors.New(messageHandlerPanic)
-
 // connection is one connection of a client. One goroutine reads requests, each request is handled in a goroutine of its own, and
 // whichever of these completes the oldest request writes the responses that are due.
 type connection struct {
@@ -76,23 +74,24 @@
 }
 
 // serve reads requests until the connection ends, and returns after all handlers have returned.
-func (c *connection) serve(ctx context.Context) (err error) {
-	defer func() {
-		if cause := recover(); cause != nil {
-			c.logPanic(ctx, cause)
-			err = hertzerrors.ErrShortConnection
-		}
-	}()
+func (c *connection) serve(ctx context.Context) error {
+	// the connection is closed whatever its end was, and a panic has been logged
+	_ = panics.Do(ctx, slog.Default(), "connection", c.readRequests)
+
+	return hertzerrors.ErrShortConnection
+}
+
+func (c *connection) readRequests(ctx context.Context) error {
 	ctx, c.cancel = context.WithCancel(ctx)
 	defer c.cancel()
 	defer c.end()
 	for c.waitForRequest() {
 		if err := c.acceptRequest(ctx); err != nil {
-			break
+			return err
 		}
 	}
 
-	return hertzerrors.ErrShortConnection
+	return nil
 }
 
 // end cancels the requests that are still in progress if the client has hung up, and lets the client read the last response.
--- a/internal/listen/send.go
+++ b/internal/listen/send.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"log/slog"
-	"runtime/debug"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
+
+	"github.com/pistachiotack/pistachiotack/internal/panics"
 )
 
 // start runs the handler. The mutex must be held.
@@ -22,19 +23,16 @@
 
 // handle calls the handler. A panic becomes an error response to this request, so that it doesn't end the process.
 func (c *connection) handle(ctx context.Context, x *exchange) {
-	defer func() {
-		if cause := recover(); cause != nil {
-			c.logPanic(ctx, cause)
-			x.ctx.Response.Reset()
-			x.ctx.AbortWithMsg(messageHandlerPanic, consts.StatusInternalServerError)
-			x.ctx.Response.SetConnectionClose()
-		}
-	}()
-	c.protocol.core.ServeHTTP(ctx, x.ctx)
-}
+	err := panics.Do(ctx, slog.Default(), "request", func(ctx context.Context) error {
+		c.protocol.core.ServeHTTP(ctx, x.ctx)
 
-func (*connection) logPanic(ctx context.Context, cause any) {
-	slog.Default().LogAttrs(ctx, slog.LevelError, messageHandlerPanic, slog.Any("panic", cause), slog.String("stack", string(debug.Stack())))
+		return nil
+	})
+	if err != nil {
+		x.ctx.Response.Reset()
+		x.ctx.AbortWithMsg("panic while the request was handled", consts.StatusInternalServerError)
+		x.ctx.Response.SetConnectionClose()
+	}
 }
 
 func (c *connection) complete(x *exchange) {
@@ -73,21 +71,17 @@
 }
 
 // write writes one response. A panic of the library while it encodes the response ends the connection only.
-func (c *connection) write(ctx context.Context, x *exchange, last bool) (err error) {
-	defer func() {
-		if cause := recover(); cause != nil {
-			c.logPanic(ctx, cause)
-			err = errHandlerPanic
+func (c *connection) write(ctx context.Context, x *exchange, last bool) error {
+	return panics.Do(ctx, slog.Default(), "response", func(context.Context) error {
+		if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return err
+		}
+		if err := x.write(last); err != nil {
+			return err
 		}
-	}()
-	if err := c.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return err
-	}
-	if err := x.write(last); err != nil {
-		return err
-	}
 
-	return c.conn.SetWriteDeadline(time.Time{})
+		return c.conn.SetWriteDeadline(time.Time{})
+	})
 }
 
 // sent removes the exchange, starts the one that has waited for it, and tells the reader. The mutex must be held.
--- a/internal/panics/doc.go
+++ b/internal/panics/doc.go
@@ -1,2 +1,2 @@
-// Package loops keeps the background work of a process going after an unexpected error.
-package loops
+// Package panics turns a panic into a logged error, so that it ends one piece of work and not the process.
+package panics
--- a/internal/panics/panics.go
+++ b/internal/panics/panics.go
@@ -1,4 +1,4 @@
-package loops
+package panics
 
 import (
 	"context"
@@ -18,7 +18,8 @@
 	maxPause = 5 * time.Second
 )
 
-var errPanic = errors.New("panic")
+// ErrPanic is wrapped by the errors that panics have become.
+var ErrPanic = errors.New("panic")
 
 // Keep runs a loop until it returns, and returns its error. A loop that panics is logged, and run again until the context ends.
 func Keep(ctx context.Context, log *slog.Logger, name string, loop func(context.Context) error) error {
@@ -26,7 +27,7 @@
 	for {
 		startedAt := time.Now()
 		err := Do(ctx, log, name, loop)
-		if !errors.Is(err, errPanic) {
+		if !errors.Is(err, ErrPanic) {
 			return err
 		}
 		if time.Since(startedAt) > maxPause {
@@ -40,13 +41,13 @@
 	}
 }
 
-// Do runs a step of background work once and returns its error. A panic is logged and returned as an error.
+// Do runs a step of the named work once and returns its error. A panic is logged, and returned as an error that wraps ErrPanic.
 func Do(ctx context.Context, log *slog.Logger, name string, step func(context.Context) error) (err error) {
 	defer func() {
 		if cause := recover(); cause != nil {
-			log.LogAttrs(ctx, slog.LevelError, "panic in background work",
-				slog.String("work", name), slog.Any("panic", cause), slog.String("stack", string(debug.Stack())))
-			err = errors.Wrapf(errPanic, "%s: %v", name, cause)
+			log.LogAttrs(ctx, slog.LevelError, "panic",
+				slog.String("work", name), slog.Any("cause", cause), slog.String("stack", string(debug.Stack())))
+			err = errors.Wrapf(ErrPanic, "%s: %v", name, cause)
 		}
 	}()
 
--- a/internal/panics/panics_test.go
+++ b/internal/panics/panics_test.go
@@ -1,4 +1,4 @@
-package loops_test
+package panics_test
 
 import (
 	"bytes"
@@ -9,7 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/pistachiotack/pistachiotack/internal/loops"
+	"github.com/pistachiotack/pistachiotack/internal/panics"
 )
 
 func TestLoopThatPanicsIsRunAgain(t *testing.T) {
@@ -17,7 +17,7 @@
 	log := slog.New(slog.NewJSONHandler(&lines, nil))
 	failure := errors.New("ended")
 	runs := 0
-	err := loops.Keep(t.Context(), log, "poll", func(context.Context) error {
+	err := panics.Keep(t.Context(), log, "poll", func(context.Context) error {
 		if runs++; runs < 3 {
 			panic("unexpected row")
 		}
@@ -26,12 +26,12 @@
 	})
 	require.ErrorIs(t, err, failure)
 	require.Equal(t, 3, runs)
-	require.Equal(t, 2, bytes.Count(lines.Bytes(), []byte(`"work":"poll","panic":"unexpected row"`)))
+	require.Equal(t, 2, bytes.Count(lines.Bytes(), []byte(`"work":"poll","cause":"unexpected row"`)))
 }
 
 func TestLoopThatPanicsEndsWithItsContext(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
-	err := loops.Keep(ctx, slog.New(slog.DiscardHandler), "poll", func(context.Context) error {
+	err := panics.Keep(ctx, slog.New(slog.DiscardHandler), "poll", func(context.Context) error {
 		cancel()
 		panic("unexpected row")
 	})
@@ -39,6 +39,6 @@
 }
 
 func TestStepThatPanicsIsAnError(t *testing.T) {
-	err := loops.Do(t.Context(), slog.New(slog.DiscardHandler), "call", func(context.Context) error { panic("unexpected reply") })
+	err := panics.Do(t.Context(), slog.New(slog.DiscardHandler), "call", func(context.Context) error { panic("unexpected reply") })
 	require.ErrorContains(t, err, "call: unexpected reply")
 }
--- a/internal/peers/server.go
+++ b/internal/peers/server.go
@@ -5,18 +5,17 @@
 	"log/slog"
 	"net"
 	"net/rpc"
-	"runtime/debug"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/pistachiotack/pistachiotack/internal/panics"
 )
 
 // acceptRetryDelay is the delay after a failed accept, which prevents a busy loop when file descriptors run out.
 const acceptRetryDelay = 50 * time.Millisecond
 
-var errPanic = errors.New("panic while a control call was handled")
-
 // server accepts connections from peers and serves their calls.
 type server struct {
 	options  Options
@@ -111,17 +110,15 @@
 }
 
 // serveCall reads one call and runs it. A panic in its method ends the connection only.
-func (s *server) serveCall(codec *codec) (err error) {
-	defer func() {
-		if cause := recover(); cause != nil {
-			s.options.Log.LogAttrs(context.Background(), slog.LevelError, "panic while a control call was handled",
-				slog.Any("panic", cause), slog.String("stack", string(debug.Stack())))
-			_ = codec.Close()
-			err = errPanic
-		}
-	}()
+func (s *server) serveCall(codec *codec) error {
+	err := panics.Do(context.Background(), s.options.Log, "control call", func(context.Context) error {
+		return s.rpc.ServeRequest(codec)
+	})
+	if errors.Is(err, panics.ErrPanic) {
+		_ = codec.Close()
+	}
 
-	return s.rpc.ServeRequest(codec)
+	return err
 }
 
 // track registers the connection for stop. It returns false if the server has stopped.
--- a/internal/resume/resume.go
+++ b/internal/resume/resume.go
@@ -9,7 +9,7 @@
 
 	"github.com/pistachiotack/pistachiotack/internal/demand"
 	"github.com/pistachiotack/pistachiotack/internal/kernel"
-	"github.com/pistachiotack/pistachiotack/internal/loops"
+	"github.com/pistachiotack/pistachiotack/internal/panics"
 	"github.com/pistachiotack/pistachiotack/internal/rules"
 	"github.com/pistachiotack/pistachiotack/internal/store"
 	"github.com/pistachiotack/pistachiotack/internal/waits"
@@ -130,12 +130,12 @@
 	done := make(chan error, 1)
 	go func() {
 		// the error has been logged, and what is not restored is learned from heartbeats
-		_ = loops.Do(ctx, r.log, "restore", func(ctx context.Context) error {
+		_ = panics.Do(ctx, r.log, "restore of the saved state", func(ctx context.Context) error {
 			r.restore(ctx)
 
 			return nil
 		})
-		done <- loops.Keep(ctx, r.log, "save", func(ctx context.Context) error {
+		done <- panics.Keep(ctx, r.log, "saving of the state", func(ctx context.Context) error {
 			r.run(ctx)
 
 			return nil
@@ -156,7 +156,7 @@
 func (r *Resume) restore(ctx context.Context) {
 	_, lost := r.table.Era()
 	var saved state
-	err := loops.Do(ctx, r.log, "load", func(ctx context.Context) (err error) {
+	err := panics.Do(ctx, r.log, "load of the saved state", func(ctx context.Context) (err error) {
 		saved, err = r.load(ctx)
 
 		return err
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -12,7 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/pistachiotack/pistachiotack/internal/kernel"
-	"github.com/pistachiotack/pistachiotack/internal/loops"
+	"github.com/pistachiotack/pistachiotack/internal/panics"
 	"github.com/pistachiotack/pistachiotack/internal/waits"
 	"github.com/pistachiotack/pistachiotack/pkg/eras"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
@@ -120,8 +120,8 @@
 	}
 	ctx, r.cancel = context.WithCancel(ctx)
 	r.loops, ctx = errgroup.WithContext(ctx)
-	r.loops.Go(func() error { return loops.Keep(ctx, r.log, "routes from the store", r.watchFeed) })
-	r.loops.Go(func() error { return loops.Keep(ctx, r.log, "routes from other nodes", r.watchPeers) })
+	r.loops.Go(func() error { return panics.Keep(ctx, r.log, "routes from the store", r.watchFeed) })
+	r.loops.Go(func() error { return panics.Keep(ctx, r.log, "routes from other nodes", r.watchPeers) })
 	done := make(chan error, 1)
 	go func() { done <- r.loops.Wait() }()
 
