--- a/internal/heads/reader_test.go
+++ b/internal/heads/reader_test.go
@@ -83,26 +83,39 @@
 	const rest = " hello\r\n there\r\n\r\nGET / HTTP/1.1\r\nX: d\r\n e\r\n\r\n"
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			response := "HTTP/1.1 200 OK\r\n" + test.head + rest
-			request := "GET / HTTP/1.1\r\n" + test.head + rest
-			for cut := range len(response) {
-				conn := newPieces(response, cut)
-				var header protocol.ResponseHeader
-				require.NoError(t, resp.ReadHeader(&header, heads.NewReader(conn)), "cut at %d", cut)
-				require.Equal(t, test.value, string(header.Peek("X")), "cut at %d", cut)
-				require.Equal(t, rest, conn.rest(), "cut at %d", cut)
-			}
-			for cut := range len(request) {
-				conn := newPieces(request, cut)
-				var header protocol.RequestHeader
-				require.NoError(t, req.ReadHeader(&header, heads.NewReader(conn)), "cut at %d", cut)
-				require.Equal(t, test.value, string(header.Peek("X")), "cut at %d", cut)
-				require.Equal(t, rest, conn.rest(), "cut at %d", cut)
+			for _, startLine := range []string{responseLine, requestLine} {
+				text := startLine + test.head + rest
+				for cut := range len(text) {
+					conn := newPieces(text, cut)
+					value, err := readX(startLine, heads.NewReader(conn))
+					require.NoError(t, err, "cut at %d", cut)
+					require.Equal(t, test.value, value, "cut at %d", cut)
+					require.Equal(t, rest, conn.rest(), "cut at %d", cut)
+				}
 			}
 		})
 	}
 }
 
+const (
+	requestLine  = "GET / HTTP/1.1\r\n"
+	responseLine = "HTTP/1.1 200 OK\r\n"
+)
+
+// readX reads the header of a request or a response, and returns the value of its field X.
+func readX(startLine string, reader heads.Reader) (string, error) {
+	if startLine == requestLine {
+		var header protocol.RequestHeader
+		err := req.ReadHeader(&header, reader)
+
+		return string(header.Peek("X")), err
+	}
+	var header protocol.ResponseHeader
+	err := resp.ReadHeader(&header, reader)
+
+	return string(header.Peek("X")), err
+}
+
 func TestContinuationOfTheStartLineIsRejected(t *testing.T) {
 	var header protocol.RequestHeader
 	require.Error(t, req.ReadHeader(&header, heads.NewReader(newPieces("GET / HTTP/1.1\r\n X: a\r\nHost: b\r\n\r\n"))))
--- a/internal/listen/fault_test.go
+++ b/internal/listen/fault_test.go
@@ -122,14 +122,14 @@
 	c := dial(t, startServer(t, b, listen.Options{}))
 	const first = "the body of the first request"
 	c.send("GET /1 HTTP/1.1\r\nHost: a\r\nContent-Length: " + strconv.Itoa(len(first)) + "\r\n\r\n" + first)
-	require.Eventually(t, func() bool { return len(b.startedPaths()) == 1 }, patience, time.Millisecond)
+	b.awaitStarted(t, 1)
 	c.send("GET /2 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n")
 	for range 20 {
 		c.send("40;x=y\r\n" + strings.Repeat("z", 64) + "\r\n")
 		time.Sleep(time.Millisecond)
 	}
 	c.send("0\r\nX: trailer\r\n\r\n")
-	require.Eventually(t, func() bool { return len(b.startedPaths()) == 2 }, patience, time.Millisecond)
+	b.awaitStarted(t, 2)
 	b.release("/1", "/2")
 	c.expect("answer /1 " + first)
 	c.expect("answer /2 " + strings.Repeat("z", 20*64))
--- a/internal/listen/serve_test.go
+++ b/internal/listen/serve_test.go
@@ -62,6 +62,12 @@
 	return append([]string(nil), b.started...)
 }
 
+// awaitStarted waits until so many requests have reached the handler.
+func (b *backend) awaitStarted(t *testing.T, count int) {
+	t.Helper()
+	require.Eventually(t, func() bool { return len(b.startedPaths()) == count }, patience, time.Millisecond)
+}
+
 func (b *backend) cancelledPaths() []string {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -171,7 +177,7 @@
 	b := newBackend()
 	c := dial(t, startServer(t, b, listen.Options{}))
 	c.send(get("/1"), get("/2"), get("/3"))
-	require.Eventually(t, func() bool { return len(b.startedPaths()) == 3 }, patience, time.Millisecond)
+	b.awaitStarted(t, 3)
 	b.release("/3", "/2")
 	time.Sleep(20 * time.Millisecond)
 	b.release("/1")
@@ -190,7 +196,7 @@
 	require.Never(t, func() bool { return len(b.startedPaths()) > 1 }, 50*time.Millisecond, time.Millisecond)
 	b.release("/1")
 	c.expect("answer /1 ")
-	require.Eventually(t, func() bool { return len(b.startedPaths()) == 2 }, patience, time.Millisecond)
+	b.awaitStarted(t, 2)
 	require.Never(t, func() bool { return len(b.startedPaths()) > 2 }, 50*time.Millisecond, time.Millisecond)
 	b.release("/2", "/3")
 	c.expect("answer /2 two")
@@ -202,7 +208,7 @@
 	c := dial(t, startServer(t, b, listen.Options{}))
 	// the exclusive request keeps the bytes of the last two unread
 	c.send(get("/1"), get("/2"), post("/3", "three"), get("/4"), get("/5"))
-	require.Eventually(t, func() bool { return len(b.startedPaths()) == 2 }, patience, time.Millisecond)
+	b.awaitStarted(t, 2)
 	require.NoError(t, c.conn.Close())
 	require.Eventually(t, func() bool { return len(b.cancelledPaths()) == 2 }, patience, time.Millisecond)
 	require.Never(t, func() bool { return len(b.startedPaths()) > 2 }, 50*time.Millisecond, time.Millisecond)
@@ -212,7 +218,7 @@
 	b := newBackend()
 	c := dial(t, startServer(t, b, listen.Options{}))
 	c.send(post("/1", "one"), strings.Repeat(get("/2"), 4000))
-	require.Eventually(t, func() bool { return len(b.startedPaths()) == 1 }, patience, time.Millisecond)
+	b.awaitStarted(t, 1)
 	require.NoError(t, c.conn.Close())
 	require.Eventually(t, func() bool { return len(b.cancelledPaths()) == 1 }, patience, time.Millisecond)
 }
@@ -222,7 +228,7 @@
 	b.closes["/1"] = true
 	c := dial(t, startServer(t, b, listen.Options{}))
 	c.send(get("/1"), get("/2"), post("/3", "three"), get("/4"))
-	require.Eventually(t, func() bool { return len(b.startedPaths()) == 2 }, patience, time.Millisecond)
+	b.awaitStarted(t, 2)
 	b.release("/1")
 	require.False(t, c.expect("answer /1 "), "the second request is running and gets its response")
 	b.release("/2")
@@ -236,7 +242,7 @@
 	server := startServer(t, b, listen.Options{})
 	c := dial(t, server)
 	c.send(get("/1"), get("/2"))
-	require.Eventually(t, func() bool { return len(b.startedPaths()) == 2 }, patience, time.Millisecond)
+	b.awaitStarted(t, 2)
 	server.DisableKeepAlives()
 	b.release("/2", "/1")
 	require.False(t, c.expect("answer /1 "))
--- a/pkg/fanout/fanout_test.go
+++ b/pkg/fanout/fanout_test.go
@@ -23,13 +23,18 @@
 	}
 }
 
+// addWindows counts windows in which nothing fails.
+func addWindows(e *fanout.Estimator, rng *rand.Rand, windows int, calls float64) {
+	for range windows {
+		addWindow(e, rng, 40+rng.IntN(20), 2+rng.IntN(6), calls)
+		e.CloseWindow()
+	}
+}
+
 func TestEstimatorSeparatesRoutesWithDifferentRates(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 2))
 	e := fanout.NewEstimator()
-	for range 40 {
-		addWindow(e, rng, 40+rng.IntN(20), 2+rng.IntN(6), 4)
-		e.CloseWindow()
-	}
+	addWindows(e, rng, 40, 4)
 	require.InDelta(t, 4.0, e.Calls("index", "calibrate"), 0.4)
 	require.Contains(t, e.Callees("index"), "calibrate")
 	require.Empty(t, e.Callees("archive"), "a route without calls must not get the callees of others")
@@ -41,10 +46,7 @@
 	rng := rand.New(rand.NewPCG(1, 2))
 	e := fanout.NewEstimator()
 	for _, calls := range []float64{4, 1} {
-		for range 240 {
-			addWindow(e, rng, 40+rng.IntN(20), 2+rng.IntN(6), calls)
-			e.CloseWindow()
-		}
+		addWindows(e, rng, 240, calls)
 		require.InDelta(t, calls, e.Calls("index", "calibrate"), 0.3)
 	}
 }
@@ -54,10 +56,7 @@
 func TestEstimatorKeepsTheCallsOfWholeExecutionsWhileTheyFail(t *testing.T) {
 	rng := rand.New(rand.NewPCG(1, 2))
 	e := fanout.NewEstimator()
-	for range 120 {
-		addWindow(e, rng, 40+rng.IntN(20), 2+rng.IntN(6), 4)
-		e.CloseWindow()
-	}
+	addWindows(e, rng, 120, 4)
 	for range 240 {
 		executions := 40 + rng.IntN(20)
 		addWindow(e, rng, executions, 2+rng.IntN(6), 1.3)
@@ -67,10 +66,7 @@
 		e.CloseWindow()
 		require.InDelta(t, 4.0, e.Callees("index")["calibrate"], 0.5)
 	}
-	for range 240 {
-		addWindow(e, rng, 40+rng.IntN(20), 2+rng.IntN(6), 2)
-		e.CloseWindow()
-	}
+	addWindows(e, rng, 240, 2)
 	require.InDelta(t, 2.0, e.Calls("index", "calibrate"), 0.3, "whole executions are learned from again")
 }
 
