Apply the operators' limits of what clients may send

Cause: the limits in the routes document (size of header and body, time for a header, idle time) were not read; a listed gap of docs/design/callpath.md. A client could send a header of 64 KiB for 30 s whatever the operators had set. A body has 30 s of its own, where header and body had 30 s together. Conclusion: a change of the limits is in force with the routes, without a restart. The Keep-Alive of 4 s and the close after 6 s stay unless the operators allow less.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -40,9 +40,11 @@
 	// peerDialTimeout limits the time to connect to another node.
 	peerDialTimeout = 300 * time.Millisecond
 	// clientIdleTimeout is the idle time after which a client must not reuse its connection, sent in the Keep-Alive header. The node
-	// closes the connection only closeMargin later, so that it doesn't close it while a request is on its way.
+	// closes the connection only closeMargin later, so that it doesn't close it while a request is on its way. Lower limits of the
+	// operators apply to both; maxIdleShare of theirs is named to the client.
 	clientIdleTimeout = 4 * time.Second
 	closeMargin       = 2 * time.Second
+	maxIdleShare      = 0.8
 )
 
 // Rules provides the routes in force.
@@ -165,6 +167,7 @@
 		MaxBody:    maxBody,
 		Idle:       clientIdleTimeout + closeMargin,
 		Repeatable: f.repeatable,
+		Limits:     f.limits,
 	})
 	if err != nil {
 		return nil, err
@@ -173,6 +176,16 @@
 	return f.server.Done(), nil
 }
 
+// limits returns the operators' limits of what clients may send, as of the routes in force.
+func (f *Front) limits() listen.Limits {
+	table := f.rules.Table()
+	if table == nil {
+		return listen.Limits{}
+	}
+
+	return listen.Limits(table.Limits())
+}
+
 func (f *Front) find(k *kernel.Kernel) error {
 	var metrics *meter.Meter
 	err := kernel.FindAll(k,
--- a/internal/front/handle.go
+++ b/internal/front/handle.go
@@ -31,7 +31,15 @@
 // headerKeepAlive is the header that states the idle timeout of a connection to the client.
 const headerKeepAlive = "Keep-Alive"
 
-var keepAlive = "timeout=" + strconv.Itoa(int(clientIdleTimeout/time.Second))
+// keepAlive returns the value of headerKeepAlive under an idle timeout of the operators, zero for none.
+func keepAlive(idleTimeout time.Duration) string {
+	timeout := clientIdleTimeout
+	if idleTimeout > 0 {
+		timeout = min(timeout, time.Duration(maxIdleShare*float64(idleTimeout)))
+	}
+
+	return "timeout=" + strconv.Itoa(int(timeout/time.Second))
+}
 
 const (
 	// defaultTimeout applies to a request for which neither the client nor the route states a timeout.
@@ -179,7 +187,7 @@
 // respond sends the response to the client.
 func (r *request) respond(response *relay.Response) {
 	wire.ForwardResponse(&r.http.Response, &response.Response)
-	r.http.Response.Header.Set(headerKeepAlive, keepAlive)
+	r.http.Response.Header.Set(headerKeepAlive, keepAlive(r.table.Limits().IdleTimeout))
 	if r.origin == fanout.OriginServers && response.Response.StatusCode() >= statusServerError {
 		r.front.demand.ObserveFailure(time.Now())
 	}
--- a/internal/listen/body.go
+++ b/internal/listen/body.go
@@ -4,6 +4,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	hertzerrors "github.com/cloudwego/hertz/pkg/common/errors"
 	"github.com/cloudwego/hertz/pkg/network"
@@ -126,6 +127,11 @@
 func (x *exchange) readBody(maxBody int, shared *budget.Budget) error {
 	request := &x.ctx.Request
 	length := request.Header.ContentLength()
+	if length > 0 || length == chunkedLength {
+		if err := x.ctx.GetConn().SetReadDeadline(time.Now().Add(readTimeout)); err != nil {
+			return err
+		}
+	}
 	if length != chunkedLength && length <= smallBody || length == noLength {
 		if err := req.ContinueReadBody(request, x.ctx.GetReader(), maxBody, false); err != nil {
 			return err
--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -199,9 +199,9 @@
 	switch {
 	case open > 0:
 	case c.served:
-		deadline = time.Now().Add(c.protocol.server.idleTimeout)
+		deadline = time.Now().Add(c.protocol.server.limits().IdleTimeout)
 	default:
-		deadline = time.Now().Add(readTimeout)
+		deadline = time.Now().Add(tighter(readTimeout, c.protocol.server.tighter().IdleTimeout))
 	}
 	_ = c.conn.SetReadDeadline(deadline)
 }
@@ -226,7 +226,7 @@
 	if c.queue.Ended() {
 		return false
 	}
-	_ = c.conn.SetReadDeadline(time.Now().Add(readTimeout))
+	_ = c.conn.SetReadDeadline(time.Now().Add(c.protocol.server.limits().HeaderTimeout))
 
 	return true
 }
--- a/internal/listen/exchange.go
+++ b/internal/listen/exchange.go
@@ -90,14 +90,15 @@
 
 // read reads the request header, and the body unless the client waits for an interim response before it sends the body.
 func (x *exchange) read(server *Server) error {
-	if err := req.ReadHeaderWithLimit(&x.ctx.Request.Header, heads.NewReader(x.ctx.GetReader()), server.maxHeader); err != nil {
+	limits := server.limits()
+	if err := req.ReadHeaderWithLimit(&x.ctx.Request.Header, heads.NewReader(x.ctx.GetReader()), limits.MaxHeader); err != nil {
 		return err
 	}
 	if x.ctx.Request.MayContinue() {
 		return nil
 	}
 
-	return x.readBody(server.maxBody, server.bodies)
+	return x.readBody(limits.MaxBody, server.bodies)
 }
 
 // readContinued asks the client for the request body, and reads it.
@@ -110,7 +111,7 @@
 		return err
 	}
 
-	return x.readBody(server.maxBody, server.bodies)
+	return x.readBody(server.limits().MaxBody, server.bodies)
 }
 
 // disconnected reports whether a read failed because the client has closed the connection without a further request.
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -21,7 +21,7 @@
 
 const (
 	defaultIdleTimeout = time.Minute
-	// readTimeout bounds the time to read a request, and the wait for the first one on a connection.
+	// readTimeout bounds the time to read a header, the time to read a body, and the wait for the first request on a connection.
 	readTimeout = 30 * time.Second
 	// defaultMaxHeader is the default size limit in bytes of a request header.
 	defaultMaxHeader = 64 << 10
@@ -41,12 +41,12 @@
 
 // Server is an HTTP server on one address.
 type Server struct {
-	hertz              *server.Hertz
-	listener           *drainableListener
-	done               chan error
-	repeatable         func(header *protocol.RequestHeader) bool
-	idleTimeout        time.Duration
-	maxHeader, maxBody int
+	hertz      *server.Hertz
+	listener   *drainableListener
+	done       chan error
+	repeatable func(header *protocol.RequestHeader) bool
+	bounds     Limits
+	tighter    func() Limits
 	// bodies bounds the larger request bodies together.
 	bodies             *budget.Budget
 	keepAlivesDisabled atomic.Bool
@@ -67,10 +67,23 @@
 	Repeatable func(header *protocol.RequestHeader) bool
 	// Idle is the timeout of idle keep-alive connections, zero for the default of 1 min.
 	Idle time.Duration
+	// Limits returns tighter limits, which may change at any time, nil for none. Its idle timeout bounds the wait for the first request
+	// on a connection as well.
+	Limits func() Limits
 	// Routes registers handlers for paths that the main handler doesn't serve, nil for none.
 	Routes func(*server.Hertz)
 }
 
+// bounds returns the limits that hold whatever the function in Limits returns.
+func (o Options) bounds() Limits {
+	return Limits{
+		MaxHeader:     cmp.Or(o.MaxHeader, defaultMaxHeader),
+		MaxBody:       o.MaxBody,
+		HeaderTimeout: readTimeout,
+		IdleTimeout:   cmp.Or(o.Idle, defaultIdleTimeout),
+	}
+}
+
 // New listens on the address, port 0 for a free port, and serves requests until Close. The handler receives all methods and paths
 // without a route of their own; it may be nil if there are Routes.
 func New(address string, handler app.HandlerFunc, options Options) (*Server, error) {
@@ -79,13 +92,15 @@
 		return nil, errors.Wrapf(err, "listen on %s", address)
 	}
 	s := &Server{
-		listener:    newDrainableListener(listener),
-		done:        make(chan error, 1),
-		repeatable:  options.Repeatable,
-		idleTimeout: cmp.Or(options.Idle, defaultIdleTimeout),
-		maxHeader:   cmp.Or(options.MaxHeader, defaultMaxHeader),
-		maxBody:     options.MaxBody,
-		bodies:      budget.New(maxBodies),
+		listener:   newDrainableListener(listener),
+		done:       make(chan error, 1),
+		repeatable: options.Repeatable,
+		bounds:     options.bounds(),
+		tighter:    options.Limits,
+		bodies:     budget.New(maxBodies),
+	}
+	if s.tighter == nil {
+		s.tighter = func() Limits { return Limits{} }
 	}
 	if s.repeatable == nil {
 		s.repeatable = func(*protocol.RequestHeader) bool { return false }
@@ -113,6 +128,11 @@
 	return s, nil
 }
 
+// limits returns the limits that hold for requests from now on.
+func (s *Server) limits() Limits {
+	return s.bounds.WithTighter(s.tighter())
+}
+
 // Address returns the bound address.
 func (s *Server) Address() string {
 	return s.listener.Addr().String()
--- a/pkg/routes/table.go
+++ b/pkg/routes/table.go
@@ -17,6 +17,7 @@
 	healthPaths    map[string]string
 	lowestPriority int
 	services       []string
+	limits         Limits
 }
 
 // NewTable validates the routes and returns a table of them, or an error that wraps ErrInvalid.
@@ -68,6 +69,19 @@
 	return &changed
 }
 
+// WithLimits returns a copy of the table with the given limits of what clients may send.
+func (t *Table) WithLimits(limits Limits) *Table {
+	changed := *t
+	changed.limits = limits
+
+	return &changed
+}
+
+// Limits returns the limits of what clients may send.
+func (t *Table) Limits() Limits {
+	return t.limits
+}
+
 // Version returns the version number, which increases from version to version; zero means none.
 func (t *Table) Version() uint64 {
 	return t.version
