Bound the responses that clients have not read yet

Cause: a response counted in a node's memory until it was handed to the connection. A client that did not read it held it for the write timeout of 30 s, without a bound over all clients; a listed gap of docs/design/callpath.md. The platform counts it to the node's memory. Change: shed.Unread reserves, before a request runs, the size that responses on its route seldom exceed, and counts the response until it is written or its connection ends (listen.OnSent). Without room in 64 MiB the request is refused as bufferFull, not run, with Retry-After; calls of backend servers are not. Ruled out: one budget with the bodies that are being read, since work that has run would fail in it, small responses too. Conclusion: slow clients cost themselves, not the node.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -35,6 +35,8 @@
 	// maxBuffered bounds the bodies in bytes of all responses that are buffered at a time, so that a faulty server can't take the
 	// memory of the VM.
 	maxBuffered = maxResponse
+	// maxUnread bounds the responses in bytes that clients have not read yet.
+	maxUnread = 64 << 20
 	// peerIdleTimeout is the time after which an idle connection to another node is not reused.
 	peerIdleTimeout = 2 * time.Second
 	// peerDialTimeout limits the time to connect to another node.
@@ -133,6 +135,7 @@
 	quota     *quota.Quota
 	startedAt time.Time
 	latencies *meanLatencies
+	unread    *shed.Unread
 }
 
 // New returns a service that has not been started.
@@ -149,6 +152,7 @@
 		quota:     quota.New(options.Quota),
 		startedAt: time.Now(),
 		latencies: newMeanLatencies(),
+		unread:    shed.NewUnread(maxUnread),
 	}
 }
 
--- a/internal/front/handle.go
+++ b/internal/front/handle.go
@@ -68,6 +68,8 @@
 	dispatched int
 	attempt    int
 	detail     string
+	// responseBytes is the number of bytes reserved for the response or held by it.
+	responseBytes int
 }
 
 func (f *Front) handle(c context.Context, ctx *app.RequestContext) {
@@ -84,6 +86,11 @@
 
 		return
 	}
+	if refusal := r.reserveResponse(); refusal != nil {
+		r.refuse(refusal)
+
+		return
+	}
 	if refusal := r.run(c); refusal != nil {
 		r.refuse(refusal)
 	}
@@ -161,6 +168,31 @@
 	return call.NewRefusal(call.OutcomeNotRun, decision.Reason).WithRetryAfter(r.retryAfter())
 }
 
+// reserveResponse reserves memory for the response, or returns the refusal if there is too little. Calls from backend servers belong to
+// requests that are already running and are not refused.
+func (r *request) reserveResponse() *call.Refusal {
+	f := r.front
+	if r.origin == fanout.OriginServers {
+		return nil
+	}
+	f.mu.Lock()
+	bytes, admitted := f.unread.Begin(r.route.Name)
+	held := f.unread.Held()
+	f.mu.Unlock()
+	if !admitted {
+		return call.NewRefusal(call.OutcomeNotRun, call.ReasonBufferFull).
+			WithDetail("%d B of responses are not read", held).WithRetryAfter(r.retryAfter())
+	}
+	r.responseBytes = bytes
+	listen.OnSent(r.http, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.unread.End(r.responseBytes)
+	})
+
+	return nil
+}
+
 // retryAfter returns the time after which a refused client may retry.
 func (r *request) retryAfter() time.Duration {
 	retryAfter := shed.RetryAfter{Remaining: time.Until(r.clientDeadline), Elapsed: time.Since(r.arrivedAt), Random: rand.Float64()}
@@ -193,6 +225,9 @@
 	}
 	latency := time.Since(r.arrivedAt)
 	r.front.observeLatency(r.route.Name, latency)
+	if r.origin != fanout.OriginServers {
+		r.front.holdResponse(r)
+	}
 	r.front.responseLatency.WithTag(r.route.Name).RecordDuration(latency)
 }
 
--- a/internal/front/usual.go
+++ b/internal/front/usual.go
@@ -36,6 +36,13 @@
 	f.latencies.observe(route, latency)
 }
 
+// holdResponse counts the bytes of a response until the client has read it.
+func (f *Front) holdResponse(r *request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r.responseBytes = f.unread.Respond(r.route.Name, r.responseBytes, len(r.http.Response.BodyBytes()))
+}
+
 // usualLatency returns the average latency of the route, zero if it had no responses.
 func (f *Front) usualLatency(route string) time.Duration {
 	f.mu.Lock()
--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -120,6 +120,11 @@
 func (c *connection) drop(x *exchange) {
 	delete(c.exchanges, x.sequence)
 	c.protocol.server.bodies.Release(x.reserved)
+	if sent, found := x.ctx.Get(sentKey); found {
+		if call, ok := sent.(func()); ok {
+			call()
+		}
+	}
 	c.protocol.server.endRequest()
 	c.protocol.recycle(x.ctx)
 }
--- a/internal/listen/exchange.go
+++ b/internal/listen/exchange.go
@@ -19,6 +19,9 @@
 // arrivalKey is the key under which a request context holds the time at which a delayed request arrived.
 const arrivalKey = "listen.arrivedAt"
 
+// sentKey is the key under which a request context holds the function that is called when its response is no longer held.
+const sentKey = "listen.sent"
+
 // responseContinue is the interim response that asks the client for the request body.
 const responseContinue = "HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -49,6 +52,11 @@
 	return time.Now()
 }
 
+// OnSent sets the function to be called once the response to the request has been sent, or never will be. It must not block.
+func OnSent(ctx *app.RequestContext, sent func()) {
+	ctx.Set(sentKey, sent)
+}
+
 // markArrival makes the arrival available to the handler if it starts later.
 func (x *exchange) markArrival() {
 	x.ctx.Set(arrivalKey, x.arrivedAt)
