Report a reused key when it is to be moved, not an outage

Change: it returns ErrKeyReused at once, as Claim does. Figures: TestReusedKeyIsNotMoved failed before and passes. Conclusion: one meaning for one error.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -108,6 +108,9 @@
 		if err == nil {
 			return proposed, nil
 		}
+		if errors.Is(err, ErrKeyReused) {
+			return Ticket{}, err
+		}
 		pause(ctx)
 	}
 
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -22,6 +22,8 @@
 	value   []byte
 	version int
 	delayed []func()
+	// reads is the number of reads with a response.
+	reads int
 }
 
 // writeResult is the effect of a request to the table and of its response.
@@ -55,6 +57,7 @@
 	if f.value == nil {
 		return store.Row{}, store.ErrNotFound
 	}
+	f.reads++
 
 	return store.Row{Value: f.value, ETag: fmt.Sprint(f.version)}, nil
 }
@@ -156,6 +159,32 @@
 	})
 }
 
+func TestReusedKeyIsNotMoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		rapid.Check(noDeadline{t}, func(rt *rapid.T) {
+			table := &faultyTable{rapid: rt}
+			key := claim.Key{Service: "pokladna", Key: "key", Digest: 7}
+			holder := claim.Ticket{Op: call.NewID(), Node: "node", Incarnation: 5}
+			if _, _, err := claim.Claim(t.Context(), table, key, holder); err != nil {
+				return
+			}
+			other := key
+			other.Digest++
+			reads := table.reads
+			_, err := claim.Move(t.Context(), table, other, holder, claim.Ticket{Op: call.NewID(), Node: "other", Incarnation: 6})
+			require.Error(rt, err)
+			if table.reads > reads {
+				require.ErrorIs(rt, err, claim.ErrKeyReused, "the request is at fault, not the table")
+				require.Equal(rt, 1, table.reads-reads, "further reads change nothing")
+			}
+			got, err := claim.Lookup(t.Context(), table, key)
+			if err == nil {
+				require.Equal(rt, holder, got)
+			}
+		})
+	})
+}
+
 func TestTicketRoundTrip(t *testing.T) {
 	for _, node := range []string{"logboek-1", "10.0.0.7:81", "a.b.c"} {
 		ticket := claim.Ticket{Op: call.NewID(), Node: node, Incarnation: 1<<63 + 5}
