Refuse values of control headers that are not finite, and ignore further fields

Cause: a level of NaN in a hop or report header was taken into the averages, which never return to a number: every comparison with it is false, so the node admits all from then on. One malformed message was enough. And a header with one field more, as a later release may send, was refused, which would end all calls between the releases during a rolling upgrade. Change: decimals have to be finite; fields behind the known ones are ignored.

--- a/internal/wire/hop.go
+++ b/internal/wire/hop.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"math"
 	"net/url"
 	"strconv"
 	"strings"
@@ -80,7 +81,7 @@
 // ParseHop parses the hop header of a request. It returns ErrBadHop if the header is missing or malformed.
 func ParseHop(header *protocol.RequestHeader) (Hop, error) {
 	parts := strings.Split(string(header.Peek(HeaderHop)), fieldSeparator)
-	if len(parts) != hopFields {
+	if len(parts) < hopFields {
 		return Hop{}, errors.Wrapf(ErrBadHop, "%d fields", len(parts))
 	}
 	r := fieldReader{parts: parts}
@@ -153,7 +154,7 @@
 // ParseReport parses the report header of a response. It returns false if the header is missing or malformed.
 func ParseReport(header *protocol.ResponseHeader) (Report, bool) {
 	parts := strings.Split(string(header.Peek(HeaderReport)), fieldSeparator)
-	if len(parts) != reportFields {
+	if len(parts) < reportFields {
 		return Report{}, false
 	}
 	r := fieldReader{parts: parts}
@@ -225,7 +226,15 @@
 }
 
 func (r *fieldReader) decimal() float64 {
-	value, err := strconv.ParseFloat(r.next(), 64)
+	return r.parseDecimal(r.next())
+}
+
+// parseDecimal refuses values that are not finite: averages that take one in never return to a number.
+func (r *fieldReader) parseDecimal(text string) float64 {
+	value, err := strconv.ParseFloat(text, 64)
+	if err == nil && (math.IsNaN(value) || math.IsInf(value, 0)) {
+		err = errors.Newf("%s is not finite", text)
+	}
 	r.setError(err)
 
 	return value
@@ -238,9 +247,8 @@
 	}
 	for entry := range strings.SplitSeq(list, listSeparator) {
 		name, text, _ := strings.Cut(entry, pairSeparator)
-		value, err := strconv.ParseFloat(text, 64)
-		r.setError(err)
-		name, err = url.QueryUnescape(name)
+		value := r.parseDecimal(text)
+		name, err := url.QueryUnescape(name)
 		r.setError(err)
 		add(name, value)
 	}
