Keep one type for the limits of what clients may send

Change: routes.Limits with WithTighter; internal/listen uses it. Conclusion: no change of behaviour.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -183,13 +183,13 @@
 }
 
 // limits returns the operators' limits of what clients may send, as of the routes in force.
-func (f *Front) limits() listen.Limits {
+func (f *Front) limits() routes.Limits {
 	table := f.rules.Table()
 	if table == nil {
-		return listen.Limits{}
+		return routes.Limits{}
 	}
 
-	return listen.Limits(table.Limits())
+	return table.Limits()
 }
 
 func (f *Front) find(k *kernel.Kernel) error {
--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -206,7 +206,7 @@
 	case c.served:
 		deadline = time.Now().Add(c.protocol.server.limits().IdleTimeout)
 	default:
-		deadline = time.Now().Add(tighter(readTimeout, c.protocol.server.tighter().IdleTimeout))
+		deadline = time.Now().Add(c.protocol.server.firstTimeout())
 	}
 	_ = c.conn.SetReadDeadline(deadline)
 }
--- a/internal/listen/limits_test.go
+++ b/internal/listen/limits_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/pistachiotack/pistachiotack/internal/listen"
+	"github.com/pistachiotack/pistachiotack/pkg/routes"
 )
 
 const (
@@ -30,7 +31,7 @@
 }
 
 func TestLimitsBoundWhatClientsSend(t *testing.T) {
-	limits := listen.Limits{MaxHeader: 1 << 10, MaxBody: 4 << 10, HeaderTimeout: shortTimeout, IdleTimeout: shortTimeout}
+	limits := routes.Limits{MaxHeader: 1 << 10, MaxBody: 4 << 10, HeaderTimeout: shortTimeout, IdleTimeout: shortTimeout}
 	const head = "POST /1 HTTP/1.1\r\nHost: a\r\n"
 	for name, test := range map[string]struct {
 		text   string
@@ -44,7 +45,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			b := newBackend()
-			c := dial(t, startServer(t, b, listen.Options{Limits: func() listen.Limits { return limits }}))
+			c := dial(t, startServer(t, b, listen.Options{Limits: func() routes.Limits { return limits }}))
 			c.send(test.text)
 			response, elapsed := c.awaitEnd()
 			require.Less(t, elapsed, shortTimeout+tolerance)
@@ -55,9 +56,9 @@
 }
 
 func TestRequestsWithinLimitsAreServed(t *testing.T) {
-	limits := listen.Limits{MaxHeader: 1 << 10, MaxBody: 4 << 10, HeaderTimeout: tolerance, IdleTimeout: shortTimeout}
+	limits := routes.Limits{MaxHeader: 1 << 10, MaxBody: 4 << 10, HeaderTimeout: tolerance, IdleTimeout: shortTimeout}
 	b := newBackend()
-	c := dial(t, startServer(t, b, listen.Options{Limits: func() listen.Limits { return limits }}))
+	c := dial(t, startServer(t, b, listen.Options{Limits: func() routes.Limits { return limits }}))
 	b.release("/1", "/2")
 	body := strings.Repeat("b", 4<<10)
 	c.send(post("/1", body))
@@ -77,7 +78,7 @@
 	b.release("/1", "/2")
 	server := startServer(t, b, listen.Options{
 		MaxHeader: 4 << 10,
-		Limits:    func() listen.Limits { return listen.Limits{MaxHeader: int(maxHeader.Load())} },
+		Limits:    func() routes.Limits { return routes.Limits{MaxHeader: int(maxHeader.Load())} },
 	})
 	large := "GET /1 HTTP/1.1\r\nHost: a\r\nX: " + strings.Repeat("a", 2<<10) + "\r\n\r\n"
 	c := dial(t, server)
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -17,6 +17,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pistachiotack/pistachiotack/internal/budget"
+	"github.com/pistachiotack/pistachiotack/pkg/routes"
 )
 
 const (
@@ -45,8 +46,8 @@
 	listener   *drainableListener
 	done       chan error
 	repeatable func(header *protocol.RequestHeader) bool
-	bounds     Limits
-	tighter    func() Limits
+	bounds     routes.Limits
+	tighter    func() routes.Limits
 	// bodies bounds the larger request bodies together.
 	bodies             *budget.Budget
 	keepAlivesDisabled atomic.Bool
@@ -69,14 +70,14 @@
 	Idle time.Duration
 	// Limits returns tighter limits, which may change at any time, nil for none. Its idle timeout bounds the wait for the first request
 	// on a connection as well.
-	Limits func() Limits
+	Limits func() routes.Limits
 	// Routes registers handlers for paths that the main handler doesn't serve, nil for none.
 	Routes func(*server.Hertz)
 }
 
 // bounds returns the limits that hold whatever the function in Limits returns.
-func (o Options) bounds() Limits {
-	return Limits{
+func (o Options) bounds() routes.Limits {
+	return routes.Limits{
 		MaxHeader:     cmp.Or(o.MaxHeader, defaultMaxHeader),
 		MaxBody:       o.MaxBody,
 		HeaderTimeout: readTimeout,
@@ -100,7 +101,7 @@
 		bodies:     budget.New(maxBodies),
 	}
 	if s.tighter == nil {
-		s.tighter = func() Limits { return Limits{} }
+		s.tighter = func() routes.Limits { return routes.Limits{} }
 	}
 	if s.repeatable == nil {
 		s.repeatable = func(*protocol.RequestHeader) bool { return false }
@@ -129,10 +130,15 @@
 }
 
 // limits returns the limits that hold for requests from now on.
-func (s *Server) limits() Limits {
+func (s *Server) limits() routes.Limits {
 	return s.bounds.WithTighter(s.tighter())
 }
 
+// firstTimeout returns the timeout of connections that have not sent a request yet.
+func (s *Server) firstTimeout() time.Duration {
+	return routes.Limits{IdleTimeout: readTimeout}.WithTighter(s.tighter()).IdleTimeout
+}
+
 // Address returns the bound address.
 func (s *Server) Address() string {
 	return s.listener.Addr().String()
--- a/pkg/routes/limits.go
+++ b/pkg/routes/limits.go
@@ -16,6 +16,16 @@
 	IdleTimeout time.Duration
 }
 
+// WithTighter returns the limits with those of the others that are lower.
+func (l Limits) WithTighter(others Limits) Limits {
+	l.MaxHeader = lower(l.MaxHeader, others.MaxHeader)
+	l.MaxBody = lower(l.MaxBody, others.MaxBody)
+	l.HeaderTimeout = lower(l.HeaderTimeout, others.HeaderTimeout)
+	l.IdleTimeout = lower(l.IdleTimeout, others.IdleTimeout)
+
+	return l
+}
+
 // Validate returns an error that wraps ErrInvalid if a limit is negative.
 func (l Limits) Validate() error {
 	if min(l.MaxHeader, l.MaxBody) < 0 || min(l.HeaderTimeout, l.IdleTimeout) < 0 {
@@ -24,3 +34,12 @@
 
 	return nil
 }
+
+// lower returns the lower one of two limits of which zero is none.
+func lower[T int | time.Duration](limit, other T) T {
+	if limit == 0 || other == 0 {
+		return max(limit, other)
+	}
+
+	return min(limit, other)
+}
--- a/pkg/routes/routes_test.go
+++ b/pkg/routes/routes_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
@@ -86,3 +87,14 @@
 		}
 	})
 }
+
+func TestTighterLimits(t *testing.T) {
+	own := routes.Limits{MaxHeader: 10, MaxBody: 100, HeaderTimeout: time.Second}
+	others := routes.Limits{MaxHeader: 20, MaxBody: 50, IdleTimeout: time.Minute}
+	require.Equal(t, routes.Limits{MaxHeader: 10, MaxBody: 50, HeaderTimeout: time.Second, IdleTimeout: time.Minute}, own.WithTighter(others))
+	require.Equal(t, own.WithTighter(others), others.WithTighter(own))
+	require.Equal(t, own, own.WithTighter(routes.Limits{}))
+	require.NoError(t, own.Validate())
+	require.ErrorIs(t, routes.Limits{MaxBody: -1}.Validate(), routes.ErrInvalid)
+	require.ErrorIs(t, routes.Limits{IdleTimeout: -1}.Validate(), routes.ErrInvalid)
+}
