--- a/internal/demand/memory_test.go
+++ b/internal/demand/memory_test.go
@@ -115,3 +115,16 @@
 	now := time.Now()
 	require.InDelta(t, 2, exploringRequests(demandWithOverloadedCallee(now), &now, 50, "archive", "certificaat"), 1)
 }
+
+// Servers that calls do not reach in time look idle to themselves, so that the level that their callers pass on must fall.
+func TestCallsPastTheirDeadlineLowerTheEstimatedLevel(t *testing.T) {
+	now := time.Now()
+	d := demandWithOverloadedCallee(now)
+	require.InDelta(t, 0.4, d.EstimatedLevel(now, "alarm"), 0.001)
+	for i := range 200 {
+		d.ObserveCall(now, "alarm", i%2 == 0)
+	}
+	require.InDelta(t, 0.2, d.EstimatedLevel(now, "alarm"), 0.01)
+	require.InDelta(t, 1, d.EstimatedLevel(now, "logboek"), 0.001, "another service")
+	require.Negative(t, d.EstimatedLevel(now, "certificaat"), "a service without reports")
+}
