Log and count the rate limit that a backend server states

Change: the header is parsed in platform/, at the header of a genuine response to the node's own call (right ID, signed or not run, not of another process); a line when the limit changes, one when it cannot be read, a gauge. No decision depends on it yet.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -99,6 +99,8 @@
 	queue       *queue.Queue
 	announced   member.State
 	failedDials int
+	// limitUnreadable is set while the rate limit in the backend server's responses cannot be read.
+	limitUnreadable bool
 }
 
 // New returns a service without a backend server; the first heartbeat registers one.
@@ -149,6 +151,7 @@
 	)
 	if err == nil {
 		g.refused = meter.NewCounters(metrics.Scope().SubScope(Name), "refused", "reason")
+		metrics.RegisterGauge("guard_backend_rate_limit", g.rateLimit)
 	}
 
 	return err
--- a/internal/guard/run.go
+++ b/internal/guard/run.go
@@ -29,6 +29,8 @@
 	id        string
 	startedAt time.Time
 	origin    fanout.Origin
+	// process is the ID of the only backend server process that may run the call.
+	process string
 }
 
 // Run executes a call, fills the response, and reports the outcome: ran, notRun (refused, and certainly not run) or unknown. The
@@ -58,8 +60,8 @@
 		return refused(reason)
 	}
 	defer x.releaseSlot()
-	process, reason := x.currentProcess()
-	if reason != "" {
+	var reason call.Reason
+	if x.process, reason = x.currentProcess(); reason != "" {
 		return refused(reason)
 	}
 	if x.hop.Once {
@@ -67,7 +69,7 @@
 	}
 	x.origin = x.guard.demand.CountExecution(x.hop, int(x.guard.services.Load()))
 
-	return x.forward(c, process, deadline, response)
+	return x.forward(c, deadline, response)
 }
 
 // refusalReason returns why the node accepts no calls to the requested service, empty if it does.
@@ -149,11 +151,11 @@
 }
 
 // forward sends the call to the backend server and classifies the result.
-func (x *execution) forward(c context.Context, process string, deadline time.Time, response *relay.Response) wire.Report {
+func (x *execution) forward(c context.Context, deadline time.Time, response *relay.Response) wire.Report {
 	g := x.guard
 	out := protocol.AcquireRequest()
 	defer protocol.ReleaseRequest(out)
-	x.fillRequest(out, process, deadline)
+	x.fillRequest(out, deadline)
 	err := g.client.Do(c, g.options.Backend, out, response, relay.Limits{
 		MaxBodyBytes:        maxResponse,
 		Buffers:             g.buffers,
@@ -168,23 +170,27 @@
 	}
 	x.resetFailedDials()
 
-	return x.classify(process, response)
+	return x.classify(response)
 }
 
 // fillRequest copies the incoming request to the one for the backend server, and sets the headers of its dialect.
-func (x *execution) fillRequest(out *protocol.Request, process string, deadline time.Time) {
+func (x *execution) fillRequest(out *protocol.Request, deadline time.Time) {
 	wire.ForwardRequest(out, x.in)
 	out.Header.Del(wire.HeaderHop)
 	x.guard.options.Dialect.SetRequestHeaders(&out.Header, RequestInfo{
-		Process:   process,
+		Process:   x.process,
 		Remaining: time.Until(deadline),
 		Caller:    x.hop.Caller,
 	})
 }
 
-// ownsResponse reports whether a response belongs to this call; one without a request ID is assumed to.
+// ownsResponse reports whether a response belongs to this call; one without a request ID is assumed to. What the process states about
+// itself applies as soon as the header is read, since a body may take long.
 func (x *execution) ownsResponse(header *protocol.ResponseHeader) bool {
 	info := x.guard.options.Dialect.ParseResponse(header.StatusCode(), header)
+	if info.genuine(x.id) {
+		x.guard.handleStatement(x.process, info)
+	}
 
 	return info.RequestID == "" || info.RequestID == x.id
 }
@@ -228,12 +234,12 @@
 
 // classify returns the report on a complete response. The outcome is unknown if the response has a content encoding, or a status
 // below 500 without a signature: the backend server may not have sent it in this form.
-func (x *execution) classify(process string, response *relay.Response) wire.Report {
+func (x *execution) classify(response *relay.Response) wire.Report {
 	status := response.Response.StatusCode()
 	info := x.guard.options.Dialect.ParseResponse(status, &response.Response.Header)
 	switch {
 	case info.WrongProcess:
-		x.handleWrongProcess(process)
+		x.handleWrongProcess()
 
 		return wire.Report{Outcome: call.OutcomeNotRun, Reason: call.ReasonWrongIncarnation}
 	case info.NotRun:
@@ -250,10 +256,10 @@
 	return report
 }
 
-func (x *execution) handleWrongProcess(process string) {
+func (x *execution) handleWrongProcess() {
 	x.guard.mu.Lock()
 	defer x.guard.mu.Unlock()
-	x.guard.backend.HandleWrongProcess(process)
+	x.guard.backend.HandleWrongProcess(x.process)
 	x.guard.applyState(time.Now())
 }
 
--- a/internal/guard/speak.go
+++ b/internal/guard/speak.go
@@ -7,6 +7,7 @@
 
 	"github.com/pistachiotack/pistachiotack/pkg/call"
 	"github.com/pistachiotack/pistachiotack/pkg/queue"
+	"github.com/pistachiotack/pistachiotack/pkg/rate"
 )
 
 const (
@@ -68,6 +69,14 @@
 	Signed bool
 	// Encoded is true if a content encoding shows that the body is not the one that the backend server sent.
 	Encoded bool
+	// RateLimit is the limit that the process states, and RateLimitErr why it cannot be read.
+	RateLimit    rate.Limit
+	RateLimitErr error
+}
+
+// genuine reports whether the process that the call was meant for has evidently made the response to this call itself.
+func (i ResponseInfo) genuine(requestID string) bool {
+	return i.RequestID != "" && i.RequestID == requestID && !i.WrongProcess && (i.Signed || i.NotRun)
 }
 
 func queueLimits(slots int) queue.Limits {
--- a/pkg/beat/server.go
+++ b/pkg/beat/server.go
@@ -1,6 +1,10 @@
 package beat
 
-import "time"
+import (
+	"time"
+
+	"github.com/pistachiotack/pistachiotack/pkg/rate"
+)
 
 const (
 	// replaceAfterIntervals is the number of heartbeat intervals without a heartbeat after which a process that started earlier
@@ -28,6 +32,8 @@
 	ended map[process]bool
 	// deregisteredAt maps the IDs of servers that deregistered without a known heartbeat to the time of the deregistration.
 	deregisteredAt map[string]time.Time
+	// rateLimit is the limit that the current process stated in its last response.
+	rateLimit rate.Limit
 }
 
 // process identifies one run of a backend server; startedAt is in Unix milliseconds.
@@ -91,6 +97,9 @@
 	if known && (s.state == StateDraining || s.lastHeartbeat.StartedAt.Before(heartbeat.StartedAt)) {
 		s.markEnded(s.lastHeartbeat)
 	}
+	if processOf(heartbeat) != processOf(s.lastHeartbeat) {
+		s.rateLimit = rate.Limit{}
+	}
 	s.accept(now, heartbeat, eventNewProcess)
 
 	return VerdictAccepted
@@ -145,6 +154,22 @@
 	}
 }
 
+// HandleRateLimit processes the limit in a response of the process with this ID, and reports whether the limit of the current process
+// has changed.
+func (s *Server) HandleRateLimit(id string, limit rate.Limit) bool {
+	if s.state == StateAbsent || s.lastHeartbeat.ID != id || s.rateLimit == limit {
+		return false
+	}
+	s.rateLimit = limit
+
+	return true
+}
+
+// RateLimit returns the limit that the current process has stated.
+func (s *Server) RateLimit() rate.Limit {
+	return s.rateLimit
+}
+
 // Tick marks a ready server as lost after lostAfterIntervals without a heartbeat, and reports whether the state changed.
 func (s *Server) Tick(now time.Time) bool {
 	if s.state != StateReady || now.Sub(s.lastHeartbeatAt) <= lostAfterIntervals*s.options.Interval {
