Keep to the rate limit that a backend server states

Cause: the class of a signal that is passed on and not acted upon: the header went through to the client, and neither queue, routing nor admission knew a bound other than slots. Change: the node beside the server, which all calls pass, starts calls under a token bucket of the stated limit, in the order of rank, and refuses at once, as not run, what can't start in time. The load that it reports is relative to the limit where that binds, so routing moves the rest and the admission level follows. The limit is saved in the node's row and read from the status check; without a row few calls run until the first response. Conclusion: one counting place makes the number of nodes irrelevant.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -101,11 +101,20 @@
 	failedDials int
 	// limitUnreadable is set while the rate limit in the backend server's responses cannot be read.
 	limitUnreadable bool
+	// limitUnknownUntil is set from the first heartbeat after a start of the node to the server's first response, for at most
+	// limitUnknownTime: the server may have stated a limit before.
+	limitUnknownUntil time.Time
+	// nextStart fires when the rate limit allows a waiting call to start.
+	nextStart *time.Timer
+	// changed receives a value when the snapshot has changed without a heartbeat.
+	changed chan struct{}
 }
 
 // New returns a service without a backend server; the first heartbeat registers one.
 func New(options Options) *Guard {
 	client, closeClient := relay.NewClient(backendIdleTimeout)
+	nextStart := time.NewTimer(tickInterval)
+	nextStart.Stop()
 
 	return &Guard{
 		options:   options,
@@ -114,8 +123,10 @@
 		close:     closeClient,
 		stopped:   make(chan struct{}),
 		backend:   beat.NewServer(beat.Options{Service: options.Service, Address: options.Backend, Interval: options.Interval}),
-		queue:     queue.New(queueLimits(0)),
+		queue:     queue.New(queueLimits(0, false)),
 		announced: member.StateStarting,
+		nextStart: nextStart,
+		changed:   make(chan struct{}, 1),
 	}
 }
 
@@ -185,16 +196,12 @@
 	return g.active.Load()
 }
 
-// Load returns the number of queued and running calls per slot, 0 without a backend server.
+// Load returns the load of the backend server relative to its slots or its rate limit, whichever binds, 0 without a backend server.
 func (g *Guard) Load() float64 {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	load := g.queue.Load()
-	if load.Slots <= 0 {
-		return 0
-	}
 
-	return float64(load.Running+load.Waiting) / float64(load.Slots)
+	return g.queue.BindingLoad(time.Now()).Utilisation()
 }
 
 // HandleHeartbeat processes a heartbeat of a backend server. It drops the connections to the previous process if another one has
@@ -208,6 +215,9 @@
 		g.options.Log.Info("backend server found", slog.String("process", heartbeat.String()), slog.Int("slots", heartbeat.Slots))
 		g.client.CloseConnections(g.options.Backend)
 		g.failedDials = 0
+		if before.ID == "" {
+			g.limitUnknownUntil = now.Add(limitUnknownTime)
+		}
 	}
 	g.applyState(now)
 
@@ -248,6 +258,7 @@
 	defer close(g.stopped)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
+	defer g.nextStart.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -257,6 +268,13 @@
 			_ = panics.Do(ctx, g.options.Log, "tick of the guard", func(context.Context) error {
 				g.tick(now)
 
+				return nil
+			})
+		case now := <-g.nextStart.C:
+			// the error has been logged, and the next tick is due soon
+			_ = panics.Do(ctx, g.options.Log, "start of calls under the rate limit", func(context.Context) error {
+				g.startWaiting(now)
+
 				return nil
 			})
 		}
@@ -271,7 +289,11 @@
 		g.options.Log.Warn("backend server lost", slog.String("process", g.backend.LastHeartbeat().String()), slog.String("reason", "silent"))
 		g.applyState(now)
 	}
+	if !g.limitUnknownUntil.IsZero() && now.After(g.limitUnknownUntil) {
+		g.setLimitKnown(now)
+	}
 	g.queue.Expire(now)
+	g.planNextStart(now)
 }
 
 func (g *Guard) countServices() {
@@ -286,7 +308,9 @@
 func (g *Guard) applyState(now time.Time) {
 	switch g.backend.State() {
 	case beat.StateReady:
-		g.queue.SetLimits(now, queueLimits(g.backend.LastHeartbeat().Slots))
+		g.queue.SetRateLimit(now, g.backend.RateLimit())
+		g.queue.SetLimits(now, queueLimits(g.backend.LastHeartbeat().Slots, !g.limitUnknownUntil.IsZero()))
+		g.planNextStart(now)
 		g.announce(member.StateServing)
 	case beat.StateDraining:
 		g.queue.RefuseAll(reasonDraining)
--- a/internal/guard/run.go
+++ b/internal/guard/run.go
@@ -106,6 +106,7 @@
 	g := x.guard
 	g.mu.Lock()
 	entry := g.queue.Submit(x.startedAt, queue.Item{Rank: x.hop.Rank, Deadline: deadline})
+	g.planNextStart(x.startedAt)
 	g.mu.Unlock()
 	select {
 	case reason := <-entry.Decided():
@@ -138,7 +139,9 @@
 func (x *execution) releaseSlot() {
 	x.guard.mu.Lock()
 	defer x.guard.mu.Unlock()
-	x.guard.queue.Release(time.Now())
+	now := time.Now()
+	x.guard.queue.Release(now)
+	x.guard.planNextStart(now)
 }
 
 // currentProcess returns the ID of the backend server process. It also returns a reason to refuse the call, since the state may have
@@ -267,7 +270,7 @@
 func (x *execution) completeReport(report wire.Report) wire.Report {
 	g := x.guard
 	g.mu.Lock()
-	load := g.queue.Load()
+	load := g.queue.BindingLoad(time.Now())
 	report.State = string(g.announced)
 	if g.draining.Load() {
 		report.State = string(member.StateDraining)
@@ -284,9 +287,12 @@
 func (g *Guard) describeLoad() string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	load := g.queue.Load()
+	load, limit := g.queue.Load(), g.queue.RateLimit(time.Now())
+	if limit != "" {
+		limit = ", " + limit
+	}
 
-	return fmt.Sprintf("running %d, waiting %d, slots %d, %s", load.Running, load.Waiting, load.Slots, g.backend.State())
+	return fmt.Sprintf("running %d, waiting %d, slots %d, %s%s", load.Running, load.Waiting, load.Slots, g.backend.State(), limit)
 }
 
 func (x *execution) traceFailure(report wire.Report) {
--- a/internal/guard/speak.go
+++ b/internal/guard/speak.go
@@ -17,6 +17,10 @@
 	minRemaining = 5 * time.Millisecond
 	// maxRunningShare is the share of the slots that may be in use at once; some backend servers slow down when nearly full.
 	maxRunningShare = 0.9
+	// limitUnknownRunning is the number of calls that may run at once while the server's rate limit is not known, limitUnknownTime how long
+	// that is at most.
+	limitUnknownRunning = 3
+	limitUnknownTime    = time.Second
 	// queueLengthFactor is the maximum queue length as a multiple of the slots.
 	queueLengthFactor = 2.0
 	// dialTimeout limits the time to connect to the backend server, which is on the same VM.
@@ -79,10 +83,16 @@
 	return i.RequestID != "" && i.RequestID == requestID && !i.WrongProcess && (i.Signed || i.NotRun)
 }
 
-func queueLimits(slots int) queue.Limits {
+// queueLimits returns the limits for a server with that many slots, whose rate limit may not be known yet.
+func queueLimits(slots int, limitUnknown bool) queue.Limits {
+	maxRunning := min(max(int(maxRunningShare*float64(slots)), 1), slots)
+	if limitUnknown {
+		maxRunning = min(maxRunning, limitUnknownRunning)
+	}
+
 	return queue.Limits{
 		Slots:        slots,
-		MaxRunning:   min(max(int(maxRunningShare*float64(slots)), 1), slots),
+		MaxRunning:   maxRunning,
 		MaxWaiting:   max(int(queueLengthFactor*float64(slots)), 1),
 		MaxWait:      queueWait,
 		MinRemaining: minRemaining,
--- a/internal/guard/state.go
+++ b/internal/guard/state.go
@@ -1,6 +1,9 @@
 package guard
 
-import "log/slog"
+import (
+	"log/slog"
+	"time"
+)
 
 // handleStatement processes what the process with the ID states about itself in a response.
 func (g *Guard) handleStatement(process string, info ResponseInfo) {
@@ -12,10 +15,48 @@
 		return
 	}
 	g.limitUnreadable = false
-	before := g.backend.RateLimit()
+	now, before := time.Now(), g.backend.RateLimit()
 	if g.backend.HandleRateLimit(process, info.RateLimit) {
 		g.options.Log.Info("backend server's rate limit changed", slog.String("process", process),
 			slog.String("limit", info.RateLimit.String()), slog.String("before", before.String()))
+		g.applyState(now)
+		g.notifyChanged()
+	}
+	if !g.limitUnknownUntil.IsZero() {
+		g.setLimitKnown(now)
+	}
+}
+
+// setLimitKnown lets as many calls run at once as the server has room for; the caller holds the lock.
+func (g *Guard) setLimitKnown(now time.Time) {
+	g.limitUnknownUntil = time.Time{}
+	g.applyState(now)
+}
+
+// startWaiting starts the waiting calls that the rate limit allows.
+func (g *Guard) startWaiting(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.queue.Expire(now)
+	g.planNextStart(now)
+}
+
+// planNextStart sets the timer for the next start of a call that waits for the rate limit; the caller holds the lock.
+func (g *Guard) planNextStart(now time.Time) {
+	if wait, waiting := g.queue.NextStart(now); waiting {
+		g.nextStart.Reset(wait)
+	}
+}
+
+// Changed returns a channel that receives a value when the snapshot has changed without a heartbeat.
+func (g *Guard) Changed() <-chan struct{} {
+	return g.changed
+}
+
+func (g *Guard) notifyChanged() {
+	select {
+	case g.changed <- struct{}{}:
+	default:
 	}
 }
 
--- a/internal/resume/past.go
+++ b/internal/resume/past.go
@@ -8,6 +8,7 @@
 
 	"github.com/pistachiotack/pistachiotack/internal/demand"
 	"github.com/pistachiotack/pistachiotack/pkg/beat"
+	"github.com/pistachiotack/pistachiotack/pkg/rate"
 )
 
 // row is the stored form of a node's state.
@@ -21,6 +22,8 @@
 	Slots    int       `json:"slots"`
 	Left     bool      `json:"left,omitempty"`
 	AsOf     time.Time `json:"at"`
+	// RateLimit is in calls per second, nil for none and in rows of earlier builds.
+	RateLimit *float64 `json:"rateLimit,omitempty"`
 	// Demand holds the demand estimates at the time SavedAt.
 	Demand  demand.Snapshot `json:"demand"`
 	SavedAt time.Time       `json:"keptAt"`
@@ -56,9 +59,13 @@
 
 func marshal(s state) ([]byte, error) {
 	snapshot, r := s.backend, s.backend.Heartbeat
+	var rateLimit *float64
+	if snapshot.RateLimit.Stated() {
+		rateLimit = new(snapshot.RateLimit.CallsPerSecond())
+	}
 	text, err := json.Marshal(row{
 		ID: r.ID, Service: r.Service, Address: r.Address, StartedAt: r.StartedAt, Sequence: r.Sequence, Slots: r.Slots,
-		Left: snapshot.Left, AsOf: snapshot.AsOf, Demand: s.demand, SavedAt: s.savedAt,
+		Left: snapshot.Left, AsOf: snapshot.AsOf, RateLimit: rateLimit, Demand: s.demand, SavedAt: s.savedAt,
 		Revision: s.revision, Era: s.era,
 	})
 
@@ -77,11 +84,33 @@
 		Left: r.Left,
 		AsOf: r.AsOf,
 	}
+	if r.RateLimit != nil {
+		snapshot.RateLimit = rate.PerSecond(*r.RateLimit)
+	}
 
 	return state{backend: snapshot, demand: r.Demand, savedAt: r.SavedAt, revision: r.Revision, era: r.Era}, nil
 }
 
-// equivalent reports whether restoring a has the same effect as restoring b.
-func equivalent(a, b beat.Snapshot) bool {
-	return a.Heartbeat.ID == b.Heartbeat.ID && a.Heartbeat.StartedAt.Equal(b.Heartbeat.StartedAt) && a.Heartbeat.Slots == b.Heartbeat.Slots && a.Left == b.Left
+// equivalent reports whether restoring the saved snapshot has about the same effect as restoring the current one.
+func equivalent(current, saved beat.Snapshot) bool {
+	a, b := current, saved
+
+	return similarLimits(current.RateLimit, saved.RateLimit) && a.Heartbeat.ID == b.Heartbeat.ID && a.Heartbeat.StartedAt.Equal(b.Heartbeat.StartedAt) && a.Heartbeat.Slots == b.Heartbeat.Slots && a.Left == b.Left
+}
+
+const (
+	// maxLimitRatio and minLimitRatio bound the saved rate limit as a multiple of the current one, so that a limit that varies does not cause
+	// a write for each of its values.
+	maxLimitRatio = 1.25
+	minLimitRatio = 0.5
+)
+
+// similarLimits reports whether the saved limit may stand for the current one until the server's first response.
+func similarLimits(current, saved rate.Limit) bool {
+	if !current.Stated() || !saved.Stated() {
+		return current == saved
+	}
+	calls := current.CallsPerSecond()
+
+	return saved.CallsPerSecond() <= maxLimitRatio*calls && saved.CallsPerSecond() >= minLimitRatio*calls
 }
--- a/internal/resume/resume.go
+++ b/internal/resume/resume.go
@@ -56,8 +56,10 @@
 	Snapshot(now time.Time) (beat.Snapshot, bool)
 	// Restore applies a snapshot from before the restart, and reports whether the backend server is ready as a result.
 	Restore(now time.Time, past beat.Snapshot, alive bool) bool
-	// Probe sends a status check to the path and returns the ID of the process that responded.
-	Probe(ctx context.Context, path string) (string, error)
+	// Probe sends a status check to the path and returns what the process that responded states.
+	Probe(ctx context.Context, path string) (beat.Health, error)
+	// Changed receives a value when the snapshot has changed without a heartbeat.
+	Changed() <-chan struct{}
 }
 
 // Demand holds the demand estimates.
@@ -177,7 +179,7 @@
 	r.demand.Restore(time.Now(), saved.demand, saved.savedAt)
 	alive, reason := false, "left"
 	if !snapshot.Left {
-		alive, reason = r.checkAlive(ctx, snapshot.Heartbeat.ID)
+		snapshot, alive, reason = r.checkAlive(ctx, snapshot)
 	}
 	ready := r.guard.Restore(time.Now(), snapshot, alive)
 	r.log.LogAttrs(ctx, slog.LevelInfo, "backend server remembered", slog.String("process", snapshot.Heartbeat.String()),
@@ -215,23 +217,27 @@
 	return prefix + r.node
 }
 
-// checkAlive reports whether the process still responds to a status check, with the reason.
-func (r *Resume) checkAlive(ctx context.Context, id string) (bool, string) {
+// checkAlive reports whether the process of the snapshot still responds to a status check, with the reason. The snapshot that it returns
+// has the rate limit of the response, if there is one.
+func (r *Resume) checkAlive(ctx context.Context, snapshot beat.Snapshot) (checked beat.Snapshot, alive bool, reason string) {
 	path := r.healthPath(ctx)
 	if path == "" {
-		return false, "no path for status checks"
+		return snapshot, false, "no path for status checks"
 	}
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	found, err := r.guard.Probe(ctx, path)
 	switch {
 	case err != nil:
-		return false, err.Error()
-	case found != id:
-		return false, "another process answers: " + found
-	default:
-		return true, "answers"
+		return snapshot, false, err.Error()
+	case found.ID != snapshot.Heartbeat.ID:
+		return snapshot, false, "another process answers: " + found.ID
+	}
+	if found.RateLimit.Stated() {
+		snapshot = snapshot.WithRateLimit(found.RateLimit)
 	}
+
+	return snapshot, true, "answers"
 }
 
 // healthPath waits for the routes and returns the path for status checks, empty if there is none within routesWait.
@@ -322,6 +328,9 @@
 		select {
 		case <-ctx.Done():
 		case <-r.changed:
+		case <-r.guard.Changed():
+			// many servers may state a limit at once, as in an overload
+			waits.Sleep(ctx, rand.N(pace.Interval(retryInterval, len(r.members.All()), demandSaveApart)))
 		case <-r.lostRow():
 			// all nodes write their rows again
 			waits.Sleep(ctx, rand.N(retryInterval))
--- a/internal/resume/resume_test.go
+++ b/internal/resume/resume_test.go
@@ -17,6 +17,7 @@
 	"github.com/pistachiotack/pistachiotack/internal/store"
 	"github.com/pistachiotack/pistachiotack/pkg/beat"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
+	"github.com/pistachiotack/pistachiotack/pkg/rate"
 	"github.com/pistachiotack/pistachiotack/pkg/routes"
 )
 
@@ -98,6 +99,7 @@
 	mu        sync.Mutex
 	server    *beat.Server
 	responder string
+	changed   chan struct{}
 }
 
 func (g *fakeGuard) handleHeartbeat(heartbeat beat.Heartbeat) {
@@ -106,6 +108,16 @@
 	g.server.HandleHeartbeat(time.Now(), heartbeat)
 }
 
+func (g *fakeGuard) stateRateLimit(limit rate.Limit) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.server.HandleRateLimit("i-1", limit)
+	select {
+	case g.changed <- struct{}{}:
+	default:
+	}
+}
+
 func (g *fakeGuard) state() beat.State {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -127,14 +139,16 @@
 	return g.server.Restore(now, snapshot, alive)
 }
 
-func (g *fakeGuard) Probe(context.Context, string) (string, error) {
+func (g *fakeGuard) Probe(context.Context, string) (beat.Health, error) {
 	if g.responder == "" {
-		return "", errUnavailable
+		return beat.Health{}, errUnavailable
 	}
 
-	return g.responder, nil
+	return beat.Health{ID: g.responder}, nil
 }
 
+func (g *fakeGuard) Changed() <-chan struct{} { return g.changed }
+
 // fakeHolder provides fixed routes.
 type fakeHolder struct {
 	fakeService
@@ -164,7 +178,7 @@
 	table, err := routes.NewTable(1, nil)
 	require.NoError(t, err)
 	n := &node{
-		guard:  &fakeGuard{fakeService: fakeService{"guard"}, server: beat.NewServer(beat.Options{Service: "logboek", Address: "a", Interval: time.Second}), responder: responder},
+		guard:  &fakeGuard{fakeService: fakeService{"guard"}, server: beat.NewServer(beat.Options{Service: "logboek", Address: "a", Interval: time.Second}), responder: responder, changed: make(chan struct{}, 1)},
 		resume: resume.New("node-1", "logboek", slog.New(slog.DiscardHandler)),
 	}
 	k := kernel.New(slog.New(slog.DiscardHandler))
@@ -277,3 +291,22 @@
 	time.Sleep(2500 * time.Millisecond)
 	require.Equal(t, 2, rows.putCalls())
 }
+
+// The limit that a server stated last must hold from the first call after a restart of its node.
+func TestRateLimitSurvivesRestart(t *testing.T) {
+	rows := newTable()
+	first := start(t, rows, "i-1")
+	first.guard.handleHeartbeat(newHeartbeat("i-1", false))
+	first.resume.Persist(t.Context())
+	require.Eventually(t, func() bool { return rows.written() == 1 }, time.Second, time.Millisecond)
+	first.guard.stateRateLimit(rate.PerSecond(4))
+	require.Eventually(t, func() bool { return rows.written() == 2 }, 5*time.Second, 10*time.Millisecond)
+	first.guard.stateRateLimit(rate.PerSecond(4.5))
+	require.Never(t, func() bool { return rows.written() > 2 }, 1500*time.Millisecond, 10*time.Millisecond, "a similar limit is not saved")
+	first.stop()
+	second := start(t, rows, "i-1")
+	require.Eventually(t, func() bool { return second.guard.state() == beat.StateReady }, time.Second, time.Millisecond)
+	snapshot, found := second.guard.Snapshot(time.Now())
+	require.True(t, found)
+	require.Equal(t, rate.PerSecond(4), snapshot.RateLimit)
+}
--- a/pkg/beat/beat_test.go
+++ b/pkg/beat/beat_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/pistachiotack/pistachiotack/pkg/beat"
+	"github.com/pistachiotack/pistachiotack/pkg/rate"
 )
 
 const interval = time.Second
@@ -166,3 +167,38 @@
 		})
 	}
 }
+
+// A late response of the process before must not limit the one that has taken its address.
+func TestRateLimitBelongsToOneProcess(t *testing.T) {
+	now := time.Now()
+	server := beat.NewServer(options)
+	require.False(t, server.HandleRateLimit("i-1", rate.PerSecond(5)), "before any heartbeat")
+	server.HandleHeartbeat(now, heartbeat("i-1", 100, 1))
+	require.True(t, server.HandleRateLimit("i-1", rate.PerSecond(5)))
+	require.False(t, server.HandleRateLimit("i-1", rate.PerSecond(5)))
+	server.HandleHeartbeat(now, heartbeat("i-1", 100, 2))
+	require.Equal(t, rate.PerSecond(5), server.RateLimit())
+	server.HandleHeartbeat(now, heartbeat("i-2", 200, 1))
+	require.Equal(t, rate.Limit{}, server.RateLimit())
+	require.False(t, server.HandleRateLimit("i-1", rate.PerSecond(5)))
+	require.Equal(t, rate.Limit{}, server.RateLimit())
+}
+
+func TestRateLimitSurvivesRestartOfTheNode(t *testing.T) {
+	now := time.Now()
+	before := beat.NewServer(options)
+	before.HandleHeartbeat(now, heartbeat("i-1", 100, 7))
+	before.HandleRateLimit("i-1", rate.PerSecond(5))
+	snapshot, found := before.Snapshot(now)
+	require.True(t, found)
+	for name, earlier := range map[string][]beat.Heartbeat{"no heartbeat since": nil, "a heartbeat since": {heartbeat("i-1", 100, 8)}} {
+		t.Run(name, func(t *testing.T) {
+			after := beat.NewServer(options)
+			for _, received := range earlier {
+				after.HandleHeartbeat(now, received)
+			}
+			after.Restore(now, snapshot, true)
+			require.Equal(t, rate.PerSecond(5), after.RateLimit())
+		})
+	}
+}
--- a/pkg/beat/past.go
+++ b/pkg/beat/past.go
@@ -1,6 +1,10 @@
 package beat
 
-import "time"
+import (
+	"time"
+
+	"github.com/pistachiotack/pistachiotack/pkg/rate"
+)
 
 // Snapshot is the part of a server's state that survives a restart of the node.
 type Snapshot struct {
@@ -8,21 +12,45 @@
 	// Left says that the process named in the heartbeat was draining or had deregistered at the time AsOf.
 	Left bool
 	AsOf time.Time
+	// RateLimit is the limit that the process stated last.
+	RateLimit rate.Limit
+}
+
+// WithRateLimit returns a copy with another rate limit.
+func (s Snapshot) WithRateLimit(limit rate.Limit) Snapshot {
+	s.RateLimit = limit
+
+	return s
+}
+
+// Health is the response of a backend server to a status check.
+type Health struct {
+	// ID is that of the process that responded.
+	ID        string
+	RateLimit rate.Limit
 }
 
 // Restore applies a snapshot from before a restart of the node and reports whether it made the server ready; alive says that the same
-// process responds now. A heartbeat received since the restart takes precedence over the snapshot.
+// process responds now. A heartbeat received since the restart takes precedence over the snapshot, and its process keeps the rate limit.
 func (s *Server) Restore(now time.Time, snapshot Snapshot, alive bool) bool {
 	if snapshot.Left {
 		s.recordDeregistration(snapshot.Heartbeat.ID, snapshot.AsOf)
 
 		return false
 	}
-	if !alive || s.state != StateAbsent {
+	if s.state != StateAbsent {
+		if processOf(snapshot.Heartbeat) == processOf(s.lastHeartbeat) && !s.rateLimit.Stated() {
+			s.rateLimit = snapshot.RateLimit
+		}
+
+		return false
+	}
+	if !alive || s.HandleHeartbeat(now, snapshot.Heartbeat) != VerdictAccepted {
 		return false
 	}
+	s.rateLimit = snapshot.RateLimit
 
-	return s.HandleHeartbeat(now, snapshot.Heartbeat) == VerdictAccepted
+	return true
 }
 
 // Snapshot returns the state to keep for a restart of the node, and false if there is none.
@@ -31,7 +59,7 @@
 		return s.lastDeregistration()
 	}
 
-	return Snapshot{Heartbeat: s.lastHeartbeat, Left: s.state == StateDraining, AsOf: now}, true
+	return Snapshot{Heartbeat: s.lastHeartbeat, Left: s.state == StateDraining, AsOf: now, RateLimit: s.rateLimit}, true
 }
 
 // lastDeregistration returns the latest deregistration of a server from which no heartbeat had been received.
--- a/pkg/beat/server.go
+++ b/pkg/beat/server.go
@@ -97,15 +97,15 @@
 	if known && (s.state == StateDraining || s.lastHeartbeat.StartedAt.Before(heartbeat.StartedAt)) {
 		s.markEnded(s.lastHeartbeat)
 	}
-	if processOf(heartbeat) != processOf(s.lastHeartbeat) {
-		s.rateLimit = rate.Limit{}
-	}
 	s.accept(now, heartbeat, eventNewProcess)
 
 	return VerdictAccepted
 }
 
 func (s *Server) accept(now time.Time, heartbeat Heartbeat, trigger event) {
+	if processOf(heartbeat) != processOf(s.lastHeartbeat) {
+		s.rateLimit = rate.Limit{}
+	}
 	s.lastHeartbeat = heartbeat
 	s.lastHeartbeatAt = now
 	s.state = next(s.state, trigger)
--- a/pkg/call/outcome.go
+++ b/pkg/call/outcome.go
@@ -29,6 +29,8 @@
 	ReasonThreshold    Reason = "belowThreshold"
 	ReasonQueueFull    Reason = "queueFull"
 	ReasonQueueTimeout Reason = "queueTimeout"
+	// ReasonRateLimited is the refusal of a call that the rate limit of the backend server does not allow in time.
+	ReasonRateLimited Reason = "rateLimited"
 	// ReasonHopeless is the refusal of a request that could not finish before its deadline.
 	ReasonHopeless   Reason = "hopeless"
 	ReasonBufferFull Reason = "bufferFull"
--- a/pkg/queue/queue.go
+++ b/pkg/queue/queue.go
@@ -2,10 +2,13 @@
 
 import (
 	"cmp"
+	"fmt"
+	"math"
 	"slices"
 	"time"
 
 	"github.com/pistachiotack/pistachiotack/pkg/call"
+	"github.com/pistachiotack/pistachiotack/pkg/rate"
 )
 
 // Item is one call that asks for a slot.
@@ -54,6 +57,7 @@
 // Queue holds the running and waiting calls of one backend server. It is not safe for concurrent use.
 type Queue struct {
 	limits   Limits
+	limiter  *rate.Limiter
 	running  int
 	sequence uint64
 	waiting  []*Entry
@@ -61,7 +65,7 @@
 
 // New returns an empty queue.
 func New(limits Limits) *Queue {
-	return &Queue{limits: limits}
+	return &Queue{limits: limits, limiter: rate.NewLimiter()}
 }
 
 // SetLimits replaces the limits and starts waiting calls for which there are slots now.
@@ -70,24 +74,80 @@
 	q.schedule(now)
 }
 
+// SetRateLimit replaces the server's limit on calls per second, and starts waiting calls that the new one allows.
+func (q *Queue) SetRateLimit(now time.Time, limit rate.Limit) {
+	q.limiter.SetLimit(now, limit)
+	q.schedule(now)
+}
+
+// NextStart returns the time until a waiting call may start under the rate limit, and false if none waits for that.
+func (q *Queue) NextStart(now time.Time) (time.Duration, bool) {
+	if len(q.waiting) == 0 || q.running >= q.limits.MaxRunning {
+		return 0, false
+	}
+
+	return q.limiter.Wait(now), true
+}
+
 // Load returns the numbers of running and waiting calls and of slots.
 func (q *Queue) Load() Load {
 	return Load{Running: q.running, Waiting: len(q.waiting), Slots: q.limits.Slots}
 }
 
+// BindingLoad returns the load relative to what binds the server: its slots, or the calls of one second under its rate limit, which then
+// stand for the slots.
+func (q *Queue) BindingLoad(now time.Time) Load {
+	load := q.Load()
+	if !q.limiter.Limit().Stated() || load.Slots <= 0 {
+		return load
+	}
+	allowed := int(math.Round(min(q.limiter.Allowed(rateSpan), float64(load.Slots))))
+	limited := Load{Running: int(math.Round(q.limiter.Utilisation(now) * float64(allowed))), Waiting: load.Waiting, Slots: allowed}
+	if limited.Utilisation() < load.Utilisation() {
+		return load
+	}
+
+	return limited
+}
+
+// rateSpan is the time whose calls stand for the slots of a server that is bound by its rate limit.
+const rateSpan = time.Second
+
+// Utilisation returns the number of running and waiting calls per slot, zero without slots.
+func (l Load) Utilisation() float64 {
+	if l.Slots <= 0 {
+		return 0
+	}
+
+	return float64(l.Running+l.Waiting) / float64(l.Slots)
+}
+
+// RateLimit describes the server's rate limit and how much of it the calls ask for, for the decision log; empty without a limit.
+func (q *Queue) RateLimit(now time.Time) string {
+	if !q.limiter.Limit().Stated() {
+		return ""
+	}
+
+	return fmt.Sprintf("rate limit %s, %.2f of it asked for", q.limiter.Limit(), q.limiter.Utilisation(now))
+}
+
 // Submit adds a call, which may be started or refused at once.
 func (q *Queue) Submit(now time.Time, item Item) *Entry {
 	q.sequence++
 	e := &Entry{item: item, sequence: q.sequence, submittedAt: now, decided: make(chan call.Reason, 1)}
-	switch {
-	case item.Deadline.Sub(now) < q.limits.MinRemaining:
+	if item.Deadline.Sub(now) < q.limits.MinRemaining {
 		e.decided <- call.ReasonHopeless
-	case q.running < q.limits.MaxRunning && len(q.waiting) == 0:
+
+		return e
+	}
+	q.limiter.Want(now)
+	if q.running < q.limits.MaxRunning && len(q.waiting) == 0 && q.limiter.Take(now) {
 		q.start(e)
-	default:
-		q.enqueue(e)
-		q.schedule(now)
+
+		return e
 	}
+	q.enqueue(e)
+	q.schedule(now)
 
 	return e
 }
@@ -131,11 +191,15 @@
 func (q *Queue) enqueue(e *Entry) {
 	index, _ := slices.BinarySearchFunc(q.waiting, e, compare)
 	q.waiting = slices.Insert(q.waiting, index, e)
-	if len(q.waiting) <= q.limits.MaxWaiting {
+	maxWaiting, reason := q.limits.MaxWaiting, call.ReasonQueueFull
+	if allowed := q.limiter.Allowed(q.limits.MaxWait); allowed < float64(maxWaiting) {
+		maxWaiting, reason = int(allowed), call.ReasonRateLimited
+	}
+	if len(q.waiting) <= maxWaiting {
 		return
 	}
 	last := len(q.waiting) - 1
-	q.waiting[last].decided <- call.ReasonQueueFull
+	q.waiting[last].decided <- reason
 	q.waiting = q.waiting[:last]
 }
 
@@ -159,7 +223,7 @@
 
 		return true
 	})
-	for q.running < q.limits.MaxRunning && len(q.waiting) > 0 {
+	for q.running < q.limits.MaxRunning && len(q.waiting) > 0 && q.limiter.Take(now) {
 		next := q.waiting[0]
 		q.waiting = slices.Delete(q.waiting, 0, 1)
 		q.start(next)
--- a/pkg/queue/queue_test.go
+++ b/pkg/queue/queue_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/pistachiotack/pistachiotack/pkg/call"
 	"github.com/pistachiotack/pistachiotack/pkg/queue"
+	"github.com/pistachiotack/pistachiotack/pkg/rate"
 )
 
 func TestMain(m *testing.M) {
@@ -117,3 +118,40 @@
 		}
 	})
 }
+
+// The load: four times the calls that a server's rate limit allows, half of them important.
+func TestRateLimitGoesToTheMostImportantCalls(t *testing.T) {
+	now := time.Now()
+	q := queue.New(queue.Limits{Slots: 100, MaxRunning: 90, MaxWaiting: 200, MaxWait: 250 * time.Millisecond, MinRemaining: 5 * time.Millisecond})
+	q.SetRateLimit(now, rate.PerSecond(20))
+	const step = 25 * time.Millisecond
+	started, refused := map[int]int{}, map[call.Reason]int{}
+	entries := map[*queue.Entry]int{}
+	for i := range 400 {
+		now = now.Add(step)
+		q.Expire(now)
+		for _, rank := range []int{1, 3} {
+			entries[q.Submit(now, queue.Item{Rank: rank, Deadline: now.Add(time.Second)})] = rank
+		}
+		for entry, rank := range entries {
+			switch reason := decision(entry); reason {
+			case "":
+				continue
+			case call.ReasonOK:
+				started[rank]++
+				q.Release(now)
+			default:
+				refused[reason]++
+			}
+			delete(entries, entry)
+		}
+		if i > 40 {
+			load := q.BindingLoad(now)
+			require.Equal(t, 20, load.Slots)
+			require.Greater(t, load.Utilisation(), 2.0)
+		}
+	}
+	require.InDelta(t, 200, started[1]+started[3], 2)
+	require.LessOrEqual(t, started[3], 2)
+	require.Greater(t, refused[call.ReasonRateLimited], refused[call.ReasonQueueTimeout])
+}
--- a/pkg/route/target.go
+++ b/pkg/route/target.go
@@ -57,7 +57,7 @@
 	case call.ReasonDraining, call.ReasonWrongIncarnation:
 		return VerdictUnavailable
 	case call.ReasonOverload, call.ReasonThreshold, call.ReasonQueueFull, call.ReasonQueueTimeout,
-		call.ReasonHopeless, call.ReasonBufferFull, call.ReasonFairShare, call.ReasonBackendShed, call.ReasonWarming:
+		call.ReasonHopeless, call.ReasonBufferFull, call.ReasonFairShare, call.ReasonBackendShed, call.ReasonWarming, call.ReasonRateLimited:
 		return VerdictBusy
 	}
 	if outcome == call.OutcomeRan {
