Send nothing new to a server that states its leaving in a response

Change: a genuine response of the current process that states its leaving has the effect of a deregistration, which later heartbeats don't undo, and is saved in the node's row at once. Conclusion: one path for the three ways of leaving.

--- a/internal/guard/speak.go
+++ b/internal/guard/speak.go
@@ -76,6 +76,8 @@
 	// RateLimit is the limit that the process states, and RateLimitErr why it cannot be read.
 	RateLimit    rate.Limit
 	RateLimitErr error
+	// Leaving is true if the process states that it leaves.
+	Leaving bool
 }
 
 // genuine reports whether the process that the call was meant for has evidently made the response to this call itself.
--- a/internal/guard/state.go
+++ b/internal/guard/state.go
@@ -9,13 +9,19 @@
 func (g *Guard) handleStatement(process string, info ResponseInfo) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	now := time.Now()
+	if info.Leaving && g.backend.HandleLeaving(process) {
+		g.options.Log.Info("backend server left", slog.String("id", process), slog.Bool("known", true), slog.String("source", "response"))
+		g.applyState(now)
+		g.notifyChanged()
+	}
 	if info.RateLimitErr != nil {
 		g.logUnreadableLimit(process, info.RateLimitErr)
 
 		return
 	}
 	g.limitUnreadable = false
-	now, before := time.Now(), g.backend.RateLimit()
+	before := g.backend.RateLimit()
 	if g.backend.HandleRateLimit(process, info.RateLimit) {
 		g.options.Log.Info("backend server's rate limit changed", slog.String("process", process),
 			slog.String("limit", info.RateLimit.String()), slog.String("before", before.String()))
--- a/internal/resume/resume.go
+++ b/internal/resume/resume.go
@@ -329,8 +329,7 @@
 		case <-ctx.Done():
 		case <-r.changed:
 		case <-r.guard.Changed():
-			// many servers may state a limit at once, as in an overload
-			waits.Sleep(ctx, rand.N(pace.Interval(retryInterval, len(r.members.All()), demandSaveApart)))
+			r.waitBeforeSave(ctx)
 		case <-r.lostRow():
 			// all nodes write their rows again
 			waits.Sleep(ctx, rand.N(retryInterval))
@@ -349,6 +348,13 @@
 	}
 }
 
+// waitBeforeSave delays the write of a changed rate limit, since many servers may state one at once, as in an overload.
+func (r *Resume) waitBeforeSave(ctx context.Context) {
+	if snapshot, _, _ := r.current(); !snapshot.Left {
+		waits.Sleep(ctx, rand.N(pace.Interval(retryInterval, len(r.members.All()), demandSaveApart)))
+	}
+}
+
 // save writes the row if the backend server's state has changed, or if demandDue is set and the demand estimates have changed.
 func (r *Resume) save(ctx context.Context, demandDue bool) error {
 	now := time.Now()
--- a/pkg/beat/beat_test.go
+++ b/pkg/beat/beat_test.go
@@ -202,3 +202,22 @@
 		})
 	}
 }
+
+func TestLeavingStatedInAResponse(t *testing.T) {
+	now := time.Now()
+	server := beat.NewServer(options)
+	require.False(t, server.HandleLeaving("i-1"), "before any heartbeat")
+	server.HandleHeartbeat(now, heartbeat("i-1", 100, 1))
+	require.False(t, server.HandleLeaving("i-0"), "a late response of the process before")
+	require.Equal(t, beat.StateReady, server.State())
+	require.True(t, server.HandleLeaving("i-1"))
+	server.HandleHeartbeat(now, heartbeat("i-1", 100, 2))
+	require.Equal(t, beat.StateDraining, server.State(), "heartbeats that still say ready")
+	require.False(t, server.HandleLeaving("i-1"))
+	snapshot, found := server.Snapshot(now)
+	require.True(t, found)
+	require.True(t, snapshot.Left)
+	server.HandleHeartbeat(now, heartbeat("i-2", 200, 1))
+	require.False(t, server.HandleLeaving("i-1"))
+	require.Equal(t, beat.StateReady, server.State())
+}
--- a/pkg/beat/server.go
+++ b/pkg/beat/server.go
@@ -154,6 +154,17 @@
 	}
 }
 
+// HandleLeaving processes a response in which the process with this ID states that it leaves, and reports whether that is news of the
+// current process. Like a deregistration it outweighs later heartbeats of the process.
+func (s *Server) HandleLeaving(id string) bool {
+	if s.state == StateAbsent || s.state == StateDraining || s.lastHeartbeat.ID != id {
+		return false
+	}
+	s.state = next(s.state, eventLeave)
+
+	return true
+}
+
 // HandleRateLimit processes the limit in a response of the process with this ID, and reports whether the limit of the current process
 // has changed.
 func (s *Server) HandleRateLimit(id string, limit rate.Limit) bool {
