Tell the end of a backend server from a broken connection

Change: when the connection of a running call breaks, the node tries to connect once for all calls that broke together; if that is refused, the calls have the reason crashed, and one line says how many there were. No decision depends on it.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -99,6 +99,8 @@
 	queue       *queue.Queue
 	announced   member.State
 	failedDials int
+	// crash is the possible end of the backend server that is being investigated, nil for none.
+	crash *crash
 	// limitUnreadable is set while the rate limit in the backend server's responses cannot be read.
 	limitUnreadable bool
 	// limitUnknownUntil is set from the first heartbeat after a start of the node to the server's first response, for at most
--- a/internal/guard/run.go
+++ b/internal/guard/run.go
@@ -169,7 +169,7 @@
 		Named:               x.namesRequest,
 	})
 	if err != nil {
-		return x.reportFailure(err)
+		return x.reportFailure(c, err)
 	}
 	x.resetFailedDials()
 
@@ -204,10 +204,13 @@
 }
 
 // reportFailure returns the report on an attempt that got no complete response.
-func (x *execution) reportFailure(err error) wire.Report {
+func (x *execution) reportFailure(c context.Context, err error) wire.Report {
 	outcome, reason := relay.OutcomeOf(err)
-	if outcome == call.OutcomeNotRun {
+	switch {
+	case outcome == call.OutcomeNotRun:
 		x.countFailedDial(reason, err)
+	case reason == call.ReasonBroken && x.checkCrash(c):
+		reason = call.ReasonCrashed
 	}
 
 	return wire.Report{Outcome: outcome, Reason: reason}
--- a/pkg/call/outcome.go
+++ b/pkg/call/outcome.go
@@ -57,6 +57,8 @@
 	ReasonStalled Reason = "stalled"
 	ReasonConnect Reason = "connectFailed"
 	ReasonBroken  Reason = "connectionBroken"
+	// ReasonCrashed means that the backend server process ended while it ran the call.
+	ReasonCrashed Reason = "crashed"
 	// ReasonTorn means that the response ended before it was complete.
 	ReasonTorn     Reason = "tornAnswer"
 	ReasonTooLarge Reason = "answerTooLarge"
--- a/pkg/route/target.go
+++ b/pkg/route/target.go
@@ -52,7 +52,7 @@
 // as the network may be at fault.
 func VerdictFor(outcome call.Outcome, reason call.Reason) Verdict {
 	switch reason {
-	case call.ReasonConnect, call.ReasonBroken, call.ReasonTorn, call.ReasonBackendFault, call.ReasonStalled:
+	case call.ReasonConnect, call.ReasonBroken, call.ReasonCrashed, call.ReasonTorn, call.ReasonBackendFault, call.ReasonStalled:
 		return VerdictFault
 	case call.ReasonDraining, call.ReasonWrongIncarnation:
 		return VerdictUnavailable
