Keep requests that crash backend servers from them

Callers got 500 and 503 for most requests while four servers of alarm, and five of logboek, went down together every 3.5 s. Cause: the class of a retry without memory across requests: each request is judged by its own attempts, so that one that crashes the servers that run it takes max_attempts of them each time it comes, at whatever node, and all that ran beside it is retried together with it. Change: a node tells the end of its server from a broken connection, and shares which requests ran then with the nodes of the service before they may be retried; suspects run apart from each other; equal requests that ran at three crashes without a response in between are refused as not run for ten minutes. Known ones are kept in the table. Formats: new control calls of service crash, nothing changed. Conclusion: what ran at a crash is remembered where all calls pass.

--- a/internal/compat/formats_test.go
+++ b/internal/compat/formats_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/pistachiotack/pistachiotack/internal/claim"
+	"github.com/pistachiotack/pistachiotack/internal/crash"
 	"github.com/pistachiotack/pistachiotack/internal/demand"
 	"github.com/pistachiotack/pistachiotack/internal/exec"
 	"github.com/pistachiotack/pistachiotack/internal/gossip"
@@ -125,7 +126,7 @@
 func current() []string {
 	f := &formats{lines: map[string]bool{}}
 	for _, receiver := range []reflect.Type{
-		reflect.TypeFor[*exec.Control](), reflect.TypeFor[*gossip.Receiver](), reflect.TypeFor[*holder.Receiver](), reflect.TypeFor[*rules.Receiver](),
+		reflect.TypeFor[*crash.Receiver](), reflect.TypeFor[*exec.Control](), reflect.TypeFor[*gossip.Receiver](), reflect.TypeFor[*holder.Receiver](), reflect.TypeFor[*rules.Receiver](),
 	} {
 		f.addMethods(receiver)
 	}
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -11,6 +11,7 @@
 	"github.com/pistachiotack/pistachiotack/internal/trace"
 	"github.com/pistachiotack/pistachiotack/internal/wire"
 	"github.com/pistachiotack/pistachiotack/pkg/call"
+	"github.com/pistachiotack/pistachiotack/pkg/fatal"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
 	"github.com/pistachiotack/pistachiotack/pkg/route"
 	"github.com/pistachiotack/pistachiotack/pkg/routes"
@@ -81,7 +82,7 @@
 // retryableElsewhere reports whether another node may accept a request that one has refused for the reason.
 func retryableElsewhere(reason call.Reason) bool {
 	switch reason {
-	case call.ReasonDeadline, call.ReasonHopeless, call.ReasonCancelled, call.ReasonNoTarget, call.ReasonBadRequest:
+	case call.ReasonDeadline, call.ReasonHopeless, call.ReasonCancelled, call.ReasonNoTarget, call.ReasonBadRequest, call.ReasonQuarantined:
 		return false
 	}
 
@@ -108,7 +109,12 @@
 		return nil, report.LocalFault && response.Response.StatusCode() >= statusServerError
 	}
 
-	return call.NewRefusal(report.Outcome, report.Reason), false
+	refusal = call.NewRefusal(report.Outcome, report.Reason)
+	if report.Reason == call.ReasonQuarantined {
+		refusal = refusal.WithRetryAfter(fatal.QuarantineTime)
+	}
+
+	return refusal, false
 }
 
 func (r *request) choiceDetail(choice route.Choice) string {
--- a/internal/guard/crash.go
+++ b/internal/guard/crash.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/pistachiotack/pistachiotack/pkg/beat"
+	"github.com/pistachiotack/pistachiotack/pkg/call"
+	"github.com/pistachiotack/pistachiotack/pkg/fatal"
 )
 
 const (
@@ -16,10 +18,13 @@
 	crashCollectTime = 10 * time.Millisecond
 )
 
+// headerCredentials is the header of HTTP by which callers identify themselves.
+const headerCredentials = "Authorization"
+
 // crash is the possible end of a backend server process, with the calls that were running when their connections broke.
 type crash struct {
-	process string
-	calls   int
+	process  string
+	requests []fatal.ID
 	// checked is closed once it is known whether the process has ended.
 	checked chan struct{}
 	ended   bool
@@ -36,7 +41,7 @@
 		g.crash = found
 		go g.investigate(context.WithoutCancel(c), found)
 	}
-	found.calls++
+	found.requests = append(found.requests, x.requestID())
 	g.mu.Unlock()
 	<-found.checked
 
@@ -46,21 +51,78 @@
 // investigate finds out whether the process has ended, and closes the channel of the crash.
 func (g *Guard) investigate(c context.Context, found *crash) {
 	defer close(found.checked)
-	c, cancel := context.WithTimeout(c, crashCheckTimeout)
+	dialCtx, cancel := context.WithTimeout(c, crashCheckTimeout)
 	defer cancel()
 	refused := false
-	conn, err := (&net.Dialer{}).DialContext(c, "tcp", g.options.Backend)
+	conn, err := (&net.Dialer{}).DialContext(dialCtx, "tcp", g.options.Backend)
 	if err == nil {
 		_ = conn.Close()
 	} else {
-		refused = c.Err() == nil
+		refused = dialCtx.Err() == nil
 		time.Sleep(crashCollectTime)
 	}
+	if g.closeCrash(found, refused) {
+		g.crashes.RecordCrash(c, found.process, found.requests)
+	}
+}
+
+// closeCrash ends the collection of calls, and marks the backend server as lost if its process has ended, which it reports.
+func (g *Guard) closeCrash(found *crash, refused bool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.crash = nil
 	found.ended = refused && g.backend.LastHeartbeat().ID == found.process && g.backend.State() != beat.StateDraining
 	if found.ended {
-		g.options.Log.Warn("backend server ended while it ran calls", slog.String("process", found.process), slog.Int("calls", found.calls))
+		g.options.Log.Warn("backend server ended while it ran calls", slog.String("process", found.process), slog.Int("calls", len(found.requests)))
+		g.backend.MarkLost()
+		g.applyState(time.Now())
+	}
+
+	return found.ended
+}
+
+// requestID returns the ID that equal requests have.
+func (x *execution) requestID() fatal.ID {
+	if x.fatalID == nil {
+		header := &x.in.Header
+		x.fatalID = new(fatal.Request{
+			Method: string(header.Method()), Host: string(header.Host()), URI: string(header.RequestURI()),
+			Credentials: string(header.Peek(headerCredentials)), Body: x.in.Body(),
+		}.ID())
+	}
+
+	return *x.fatalID
+}
+
+// verdict says whether the request may run, as far as it is known from crashes.
+func (x *execution) verdict() fatal.Verdict {
+	if !x.guard.crashes.Active() {
+		return fatal.VerdictClean
+	}
+
+	return x.guard.crashes.Verdict(time.Now(), x.requestID())
+}
+
+// waitForTurn refuses a request that is known to crash backend servers, and waits until a suspect may run as the only one here. The
+// returned function ends its turn.
+func (x *execution) waitForTurn(c context.Context, deadline time.Time) (end func(), reason call.Reason) {
+	nothing := func() {}
+	switch x.verdict() {
+	case fatal.VerdictClean:
+		return nothing, ""
+	case fatal.VerdictKnown:
+		return nothing, call.ReasonQuarantined
+	case fatal.VerdictSuspect:
+	}
+	timer := time.NewTimer(min(time.Until(deadline), queueWait))
+	defer timer.Stop()
+	turn := x.guard.suspectTurn
+	select {
+	case turn <- struct{}{}:
+		return func() { <-turn }, ""
+	case <-timer.C:
+		return nothing, call.ReasonQueueTimeout
+	case <-c.Done():
+		return nothing, call.ReasonCancelled
 	}
 }
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -19,6 +19,7 @@
 	"github.com/pistachiotack/pistachiotack/internal/wire"
 	"github.com/pistachiotack/pistachiotack/pkg/beat"
 	"github.com/pistachiotack/pistachiotack/pkg/fanout"
+	"github.com/pistachiotack/pistachiotack/pkg/fatal"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
 	"github.com/pistachiotack/pistachiotack/pkg/queue"
 )
@@ -57,6 +58,17 @@
 	Revision() uint64
 }
 
+// Crashes remembers which requests were running when backend servers of the service crashed.
+type Crashes interface {
+	// Active reports whether any request is a suspect or known.
+	Active() bool
+	Verdict(now time.Time, id fatal.ID) fatal.Verdict
+	// RecordCrash records that a process ended while it ran the requests, and shares it with other nodes for a bounded time.
+	RecordCrash(ctx context.Context, process string, requests []fatal.ID)
+	// RecordResponse clears a request that a backend server has answered.
+	RecordResponse(id fatal.ID)
+}
+
 // Tracer writes decisions to the decision log.
 type Tracer interface {
 	Record(decision trace.Decision)
@@ -82,6 +94,7 @@
 	demand    Demand
 	holder    Holder
 	tracer    Tracer
+	crashes   Crashes
 	refused   *meter.Vec[tally.Counter]
 	client    *relay.Client
 	buffers   *budget.Budget
@@ -89,6 +102,8 @@
 	server    *listen.Server
 	active    atomic.Int64
 	draining  atomic.Bool
+	// suspectTurn holds a value while a request runs that was running when a backend server crashed.
+	suspectTurn chan struct{}
 	// services is the number of services in the fleet.
 	services atomic.Int64
 	cancel   context.CancelFunc
@@ -119,16 +134,17 @@
 	nextStart.Stop()
 
 	return &Guard{
-		options:   options,
-		client:    client,
-		buffers:   budget.New(maxBuffered),
-		close:     closeClient,
-		stopped:   make(chan struct{}),
-		backend:   beat.NewServer(beat.Options{Service: options.Service, Address: options.Backend, Interval: options.Interval}),
-		queue:     queue.New(queueLimits(0, false)),
-		announced: member.StateStarting,
-		nextStart: nextStart,
-		changed:   make(chan struct{}, 1),
+		options:     options,
+		client:      client,
+		buffers:     budget.New(maxBuffered),
+		close:       closeClient,
+		stopped:     make(chan struct{}),
+		suspectTurn: make(chan struct{}, 1),
+		backend:     beat.NewServer(beat.Options{Service: options.Service, Address: options.Backend, Interval: options.Interval}),
+		queue:       queue.New(queueLimits(0, false)),
+		announced:   member.StateStarting,
+		nextStart:   nextStart,
+		changed:     make(chan struct{}, 1),
 	}
 }
 
@@ -159,6 +175,7 @@
 		kernel.Into("gossip", &g.announcer),
 		kernel.Into("demand", &g.demand),
 		kernel.Into("holder", &g.holder),
+		kernel.Into("crash", &g.crashes),
 		kernel.Into(trace.Name, &g.tracer),
 		kernel.Into(meter.Name, &metrics),
 	)
--- a/internal/guard/run.go
+++ b/internal/guard/run.go
@@ -14,6 +14,7 @@
 	"github.com/pistachiotack/pistachiotack/pkg/beat"
 	"github.com/pistachiotack/pistachiotack/pkg/call"
 	"github.com/pistachiotack/pistachiotack/pkg/fanout"
+	"github.com/pistachiotack/pistachiotack/pkg/fatal"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
 	"github.com/pistachiotack/pistachiotack/pkg/queue"
 )
@@ -31,6 +32,8 @@
 	origin    fanout.Origin
 	// process is the ID of the only backend server process that may run the call.
 	process string
+	// fatalID is the ID that equal requests have, nil until it is needed.
+	fatalID *fatal.ID
 }
 
 // Run executes a call, fills the response, and reports the outcome: ran, notRun (refused, and certainly not run) or unknown. The
@@ -56,14 +59,21 @@
 		return refused(reason)
 	}
 	deadline := x.startedAt.Add(x.hop.Remaining)
+	endTurn, reason := x.waitForTurn(c, deadline)
+	if reason != "" {
+		return refused(reason)
+	}
+	defer endTurn()
 	if reason := x.waitForSlot(c, deadline); reason != call.ReasonOK {
 		return refused(reason)
 	}
 	defer x.releaseSlot()
-	var reason call.Reason
 	if x.process, reason = x.currentProcess(); reason != "" {
 		return refused(reason)
 	}
+	if x.verdict() == fatal.VerdictKnown {
+		return refused(call.ReasonQuarantined)
+	}
 	if x.hop.Once {
 		c = context.WithoutCancel(c)
 	}
@@ -172,8 +182,12 @@
 		return x.reportFailure(c, err)
 	}
 	x.resetFailedDials()
+	report := x.classify(response)
+	if report.Outcome == call.OutcomeRan && x.guard.crashes.Active() {
+		x.guard.crashes.RecordResponse(x.requestID())
+	}
 
-	return x.classify(response)
+	return report
 }
 
 // fillRequest copies the incoming request to the one for the backend server, and sets the headers of its dialect.
--- a/internal/routed/node.go
+++ b/internal/routed/node.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pistachiotack/pistachiotack/internal/admin"
+	"github.com/pistachiotack/pistachiotack/internal/crash"
 	"github.com/pistachiotack/pistachiotack/internal/demand"
 	"github.com/pistachiotack/pistachiotack/internal/front"
 	"github.com/pistachiotack/pistachiotack/internal/gossip"
@@ -149,6 +150,7 @@
 		n.gossip,
 		n.rules,
 		demand.New(o.Service),
+		crash.New(o.Service, dependencies.Log),
 		n.guard,
 		n.front,
 		resume.New(o.Name, o.Service, dependencies.Log),
--- a/pkg/call/outcome.go
+++ b/pkg/call/outcome.go
@@ -59,6 +59,8 @@
 	ReasonBroken  Reason = "connectionBroken"
 	// ReasonCrashed means that the backend server process ended while it ran the call.
 	ReasonCrashed Reason = "crashed"
+	// ReasonQuarantined is the refusal of a request that is known to crash the backend servers that run it.
+	ReasonQuarantined Reason = "quarantined"
 	// ReasonTorn means that the response ended before it was complete.
 	ReasonTorn     Reason = "tornAnswer"
 	ReasonTooLarge Reason = "answerTooLarge"
