--- a/internal/crash/crash.go
+++ b/internal/crash/crash.go
@@ -160,6 +160,16 @@
 	}
 }
 
+// clear removes requests that have got a response at another node.
+func (s *Crashes) clear(requests []fatal.ID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, id := range requests {
+		s.table.RecordResponse(id)
+	}
+	s.rows.drop(requests)
+}
+
 // share calls a method at all other nodes of the service.
 func (s *Crashes) share(ctx context.Context, method string, args any) {
 	var calls sync.WaitGroup
--- a/internal/crash/recv.go
+++ b/internal/crash/recv.go
@@ -34,11 +34,7 @@
 
 // Clear removes requests that have got a response at another node.
 func (r *Receiver) Clear(requests []fatal.ID, _ *struct{}) error {
-	r.crashes.mu.Lock()
-	defer r.crashes.mu.Unlock()
-	for _, id := range requests {
-		r.crashes.table.RecordResponse(id)
-	}
+	r.crashes.clear(requests)
 
 	return nil
 }
--- a/internal/crash/rows.go
+++ b/internal/crash/rows.go
@@ -20,6 +20,9 @@
 	rowPrefix = "fatal/"
 	// retryInterval is the time between tries to load or to save rows.
 	retryInterval = time.Second
+	// rowLifetime is the age at which a row no longer counts. It is far longer than the quarantine, since clocks may be set by minutes: what
+	// is read counts from then on.
+	rowLifetime = 24 * time.Hour
 )
 
 // Table is the key-value table of the platform.
@@ -143,13 +146,13 @@
 			return false
 		}
 		for _, one := range found {
-			entry, err := decode(one.Key[len(r.prefix):], one.Value)
+			entry, current, err := decode(one.Key[len(r.prefix):], one.Value)
 			if err != nil {
 				r.log.LogAttrs(ctx, slog.LevelWarn, "row ignored", slog.String("key", one.Key), slog.String("error", err.Error()))
 
 				continue
 			}
-			if entry.Known() {
+			if current {
 				entries = append(entries, entry)
 			} else if err := r.table.Delete(ctx, one.Key, one.ETag); err != nil {
 				r.log.LogAttrs(ctx, slog.LevelInfo, "row not removed", slog.String("key", one.Key), slog.String("error", err.Error()))
@@ -164,19 +167,18 @@
 	return true
 }
 
-// decode returns the entry of a row.
-func decode(key string, value []byte) (fatal.Entry, error) {
+// decode returns the entry of a row, and whether it counts.
+func decode(key string, value []byte) (entry fatal.Entry, current bool, err error) {
 	id, err := fatal.ParseID(key)
 	if err != nil {
-		return fatal.Entry{}, err
+		return fatal.Entry{}, false, err
 	}
 	var r row
 	if err := json.Unmarshal(value, &r); err != nil {
-		return fatal.Entry{}, errors.Wrapf(err, "decode row %s", key)
+		return fatal.Entry{}, false, errors.Wrapf(err, "decode row %s", key)
 	}
 
-	// clocks differ between the nodes that write and read it
-	return fatal.Entry{ID: id, Processes: r.Processes, Age: max(time.Since(r.CrashedAt), 0)}, nil
+	return fatal.Entry{ID: id, Processes: r.Processes}, time.Since(r.CrashedAt) < rowLifetime, nil
 }
 
 // save writes and removes what has changed, and reports whether all of it is done.
