Take times out of order in the rate limiter

Cause: found on reading the diff. Calls take the time before they wait for the guard's lock, so times come out of order; the limiter set its last refill back to the earlier one, and the same time was refilled twice. A call that had waited for its turn as a suspect was also queued as of its arrival, and timed out at once. Change: a time before the last refill changes nothing; calls are queued as of the time at which they are.

--- a/internal/guard/run.go
+++ b/internal/guard/run.go
@@ -115,8 +115,9 @@
 func (x *execution) waitForSlot(c context.Context, deadline time.Time) call.Reason {
 	g := x.guard
 	g.mu.Lock()
-	entry := g.queue.Submit(x.startedAt, queue.Item{Rank: x.hop.Rank, Deadline: deadline})
-	g.planNextStart(x.startedAt)
+	now := time.Now()
+	entry := g.queue.Submit(now, queue.Item{Rank: x.hop.Rank, Deadline: deadline})
+	g.planNextStart(now)
 	g.mu.Unlock()
 	select {
 	case reason := <-entry.Decided():
--- a/pkg/rate/limiter.go
+++ b/pkg/rate/limiter.go
@@ -119,7 +119,12 @@
 }
 
 func (l *Limiter) refill(now time.Time) {
-	if elapsed := now.Sub(l.refilledAt); elapsed > 0 && l.limit.Stated() {
+	elapsed := now.Sub(l.refilledAt)
+	if elapsed <= 0 {
+		// callers take the time before they get to the limiter, so it may come out of order
+		return
+	}
+	if l.limit.Stated() {
 		l.tokens = min(l.tokens+elapsed.Seconds()*l.rate(), l.burst())
 	}
 	l.refilledAt = now
--- a/pkg/rate/limiter_test.go
+++ b/pkg/rate/limiter_test.go
@@ -55,6 +55,23 @@
 	})
 }
 
+func TestTimesOutOfOrderAllowNoMoreCalls(t *testing.T) {
+	t.Parallel()
+	limiter := rate.NewLimiter()
+	start := time.Now()
+	limiter.SetLimit(start, rate.PerSecond(10))
+	calls := 0
+	for i := range 1000 {
+		now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+		for _, at := range []time.Time{now, now.Add(-200 * time.Millisecond), now} {
+			if limiter.Take(at) {
+				calls++
+			}
+		}
+	}
+	require.InDelta(t, 100, calls, 2)
+}
+
 func TestAllOfTheLimitIsUsable(t *testing.T) {
 	t.Parallel()
 	for _, limit := range []float64{0.5, 1, 15, 300} {
