Compute digests of requests outside the lock of the guard

Cause: found on reading the diff. At a crash each call computed the digest of its request while it held the lock that all calls need, up to a millisecond for a large body. Conclusion: no behaviour changes.

--- a/internal/guard/crash.go
+++ b/internal/guard/crash.go
@@ -33,7 +33,7 @@
 // checkCrash reports whether the process has ended, given that the connection of a call broke that it was running. It waits for the
 // result, which calls that broke at the same time share.
 func (x *execution) checkCrash(c context.Context) bool {
-	g := x.guard
+	g, request := x.guard, x.requestID()
 	g.mu.Lock()
 	found := g.crash
 	if found == nil || found.process != x.process {
@@ -41,7 +41,7 @@
 		g.crash = found
 		go g.investigate(context.WithoutCancel(c), found)
 	}
-	found.requests = append(found.requests, x.requestID())
+	found.requests = append(found.requests, request)
 	g.mu.Unlock()
 	<-found.checked
 
