Write a leaving at once while the write of a rate limit is delayed

Cause: found on reading the diff. The write of a changed rate limit is spread over some seconds, and the loop that writes the row slept meanwhile, so that a leaving could be acknowledged 400 ms later without having been kept: after a restart of the node the server would be in use again. Change: a heartbeat or a leaving ends the delay.

--- a/internal/resume/resume.go
+++ b/internal/resume/resume.go
@@ -348,10 +348,24 @@
 	}
 }
 
-// waitBeforeSave delays the write of a changed rate limit, since many servers may state one at once, as in an overload.
+// waitBeforeSave delays the write of a changed rate limit, since many servers may state one at once, as in an overload. A heartbeat or a
+// leaving ends the delay.
 func (r *Resume) waitBeforeSave(ctx context.Context) {
-	if snapshot, _, _ := r.current(); !snapshot.Left {
-		waits.Sleep(ctx, rand.N(pace.Interval(retryInterval, len(r.members.All()), demandSaveApart)))
+	timer := time.NewTimer(rand.N(pace.Interval(retryInterval, len(r.members.All()), demandSaveApart)))
+	defer timer.Stop()
+	for {
+		if snapshot, _, _ := r.current(); snapshot.Left {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			return
+		case <-r.changed:
+			return
+		case <-r.guard.Changed():
+		}
 	}
 }
 
--- a/internal/resume/resume_test.go
+++ b/internal/resume/resume_test.go
@@ -310,3 +310,24 @@
 	require.True(t, found)
 	require.Equal(t, rate.PerSecond(4), snapshot.RateLimit)
 }
+
+// A server may leave while the write of its new rate limit is being delayed.
+func TestLeavingIsWrittenDuringTheDelayOfARateLimit(t *testing.T) {
+	for range 6 {
+		rows := newTable()
+		n := start(t, rows, "i-1")
+		n.guard.handleHeartbeat(newHeartbeat("i-1", false))
+		n.resume.Persist(t.Context())
+		require.Eventually(t, func() bool { return rows.written() == 1 }, time.Second, time.Millisecond)
+		n.guard.stateRateLimit(rate.PerSecond(4))
+		time.Sleep(20 * time.Millisecond)
+		draining := newHeartbeat("i-1", true)
+		draining.Sequence = 2
+		n.guard.handleHeartbeat(draining)
+		startedAt := time.Now()
+		n.resume.Persist(t.Context())
+		require.Less(t, time.Since(startedAt), 200*time.Millisecond)
+		require.GreaterOrEqual(t, rows.written(), 2)
+		n.stop()
+	}
+}
