Log what a refused request is believed to need of the binding service

The detail now ends with the weight of that need, or says that the calls are unknown. Readers of the line (losses) are unaffected, as a test shows.

--- a/internal/cmds/loss_test.go
+++ b/internal/cmds/loss_test.go
@@ -17,8 +17,8 @@
 	}
 	in := strings.Join([]string{
 		"  41.2 n " + refusal("2.1", "read", "overload", "rank 0.80, level 0.60 of alarm "),
-		refusal("3.9", "read", "overload", "rank 0.90, level 0.50 of alarm "),
-		refusal("3.9", "read", "overload", "rank 0.90, level 0.50 of archief "),
+		refusal("3.9", "read", "overload", "rank 0.90, level 0.50 of alarm (weight 0.25) "),
+		refusal("3.9", "read", "overload", "rank 0.90, level 0.50 of archief (calls unknown) "),
 		refusal("3.9", "sign", "queueFull", "rank 0.10, level 1.00 of  running 27"),
 		refusal("4.0", "read", "overload", "rank 0.70, level 0.20 of alarm "),
 		routeLine, lifeLine, "no JSON", `{"msg":"decision","step":"refuse",`, "",
--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -234,7 +234,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	key := wire.RouteKey(route, service)
-	if d.trees.Has(key) {
+	known := d.trees.Has(key)
+	if known {
 		for needed, calls := range d.callsPerService(route, service) {
 			request.Needs = append(request.Needs, shed.Need{Service: needed, Weight: calls / max(calls, d.maxCalls[needed])})
 		}
@@ -246,6 +247,7 @@
 	}
 
 	decision := d.levels.Decide(now, request)
+	decision.Unknown = !known
 	if !decision.Admitted && d.startExploring(now, key) {
 		decision.Admitted, decision.Explores = true, true
 	}
--- a/internal/front/handle.go
+++ b/internal/front/handle.go
@@ -157,10 +157,7 @@
 		LowestPriority: r.table.LowestPriority(),
 		Random:         rand.Float64(),
 	})
-	r.detail = "rank " + decimal(decision.Rank) + ", level " + decimal(decision.Level) + " of " + decision.Service
-	if decision.Explores {
-		r.detail += ", explores"
-	}
+	r.detail = describeDecision(decision)
 	if decision.Admitted {
 		return nil
 	}
@@ -168,6 +165,23 @@
 	return call.NewRefusal(call.OutcomeNotRun, decision.Reason).WithRetryAfter(r.retryAfter())
 }
 
+// describeDecision formats an admission decision for the decision log.
+func describeDecision(decision shed.Decision) string {
+	detail := "rank " + decimal(decision.Rank) + ", level " + decimal(decision.Level) + " of " + decision.Service
+	switch {
+	case decision.Service == "":
+	case decision.Unknown:
+		detail += " (calls unknown)"
+	default:
+		detail += " (weight " + decimal(decision.Weight) + ")"
+	}
+	if decision.Explores {
+		detail += ", explores"
+	}
+
+	return detail
+}
+
 // reserveResponse reserves memory for the response, or returns the refusal if there is too little. Calls from backend servers belong to
 // requests that are already running and are not refused.
 func (r *request) reserveResponse() *call.Refusal {
--- a/pkg/shed/admit.go
+++ b/pkg/shed/admit.go
@@ -55,13 +55,16 @@
 }
 
 // Decision is the result of admission control for one request. Service is the one with the least spare capacity, empty if all services
-// admit everything; Level and Rank are the values that were compared for it.
+// admit everything; Level and Rank are the values that were compared for it, and Weight is that of the request's need for it.
 type Decision struct {
 	Admitted bool
 	Reason   call.Reason
 	Service  string
 	Level    float64
 	Rank     float64
+	Weight   float64
+	// Unknown is true if it is not known what the request's call tree needs, so that it counts as needing all services.
+	Unknown bool
 	// Explores is true if the request is admitted in spite of the overload, to learn what its call tree needs.
 	Explores bool
 }
@@ -76,7 +79,7 @@
 			continue
 		}
 		minMargin = level - rank
-		decision.Level, decision.Rank, decision.Service = level, rank, need.Service
+		decision.Level, decision.Rank, decision.Service, decision.Weight = level, rank, need.Service, need.Weight
 	}
 	if minMargin <= 0 {
 		decision.Admitted = false
