Collect garbage less often at nodes on the users' platform

Cause: the heap of a node grew by 20% between two collections, which run on the one processor that calls need. Beside thousands of connections a collection scans all of their stacks, several times a second at the onset of a surge; calls wait meanwhile and hold slots of other services. Change: GC percent 100, bounded by a soft limit of half of the memory that the platform states for the process. The settings of the runtime move from internal/cmds to internal/tune. A percentage gives the memory to the nodes that are busy, a ballast to all of them.

--- a/internal/cmds/node.go
+++ b/internal/cmds/node.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/pistachiotack/pistachiotack/internal/node"
+	"github.com/pistachiotack/pistachiotack/internal/tune"
 	"github.com/pistachiotack/pistachiotack/pkg/config"
 	"github.com/pistachiotack/pistachiotack/pkg/tree"
 )
@@ -32,7 +33,7 @@
 	if err != nil {
 		return err
 	}
-	staySmall(settings.Processors, nodeGCPercent)
+	tune.Apply(tune.Node(settings.Processors))
 	started, err := node.Start(env.Context, settings, snapshot, node.Logs{Log: log, Decisions: env.Out})
 	if err != nil {
 		return err
--- a/internal/cmds/side.go
+++ b/internal/cmds/side.go
@@ -3,12 +3,10 @@
 import (
 	"log/slog"
 
+	"github.com/pistachiotack/pistachiotack/internal/tune"
 	adapt "github.com/pistachiotack/pistachiotack/platform"
 )
 
-// processors is the number of processors that a node on the users' platform uses.
-const processors = 1
-
 // SidecarCommand runs a node on the users' platform until a signal stops it.
 type SidecarCommand struct {
 	Check    bool   `help:"Only check the platform's settings file."`
@@ -17,17 +15,16 @@
 
 // Run starts the node; SIGTERM drains it first.
 func (c SidecarCommand) Run(env Env) error {
-	if c.Check {
-		_, err := adapt.LoadSettings()
-
+	settings, err := adapt.LoadSettings()
+	if err != nil || c.Check {
 		return err
 	}
 	log, err := newLogger(env.Out, c.LogLevel)
 	if err != nil {
 		return err
 	}
-	staySmall(processors, sidecarGCPercent)
-	if err := adapt.Run(env.Context, log, env.Out); err != nil {
+	tune.Apply(tune.Sidecar(settings.MemoryBytes))
+	if err := adapt.Run(env.Context, settings, log, env.Out); err != nil {
 		log.Error("node failed", slog.String("error", err.Error()))
 
 		return err
