Don't believe a response without an ID on a kept connection

A copy with the ID of its request was skipped already; one without an ID, or a 421 without one, was taken for the answer to the next request: the client was told 503, not run, while the server ran the request. A connection is kept only if all of its responses have named their requests, so an unnamed one on it belongs to no request: the attempt now fails, its outcome is unknown. The same client serves the product's own interface.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -22,6 +22,8 @@
 	deadline   time.Time
 	conn       *conn
 	generation uint64
+	// reused is true if the connection has carried other requests before.
+	reused bool
 	// stopWatching stops closing the connection on cancellation. It returns false if the connection is already being closed.
 	stopWatching func() bool
 	// skippedResponse is set when the connection carried a response to another request.
@@ -31,6 +33,8 @@
 func (a *attempt) connect(ctx context.Context, now time.Time) error {
 	a.conn, a.generation = a.pool.get(now)
 	if a.conn != nil {
+		a.reused = true
+
 		return nil
 	}
 	var err error
@@ -88,6 +92,10 @@
 		if err := a.readFinalHeader(); err != nil {
 			return err
 		}
+		if a.reused && !a.named() {
+			// it may be a copy of an earlier response, and all responses on this connection have named their requests
+			return errUnnamedResponse
+		}
 		if a.limits.Matches == nil || a.limits.Matches(&response.Header) {
 			return nil
 		}
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -20,6 +20,7 @@
 	errTrailingBytes    = errors.New("bytes after the end of the answer")
 	errTooLong          = errors.New("answer is longer than allowed")
 	errWrongResponse    = errors.New("answer belongs to another request")
+	errUnnamedResponse  = errors.New("answer on a kept connection names no request")
 	errHeadTooLong      = errors.New("header is longer than allowed")
 	errEndless          = errors.New("answer without a length is longer than allowed")
 )
@@ -74,7 +75,7 @@
 	// to it.
 	Matches func(header *protocol.ResponseHeader) bool
 	// Named reports whether a response names its request. The connection of one that doesn't is not reused, since a late copy of the
-	// response could not be told from the next one. If nil, connections are reused regardless.
+	// response could not be told from the next one; on a reused connection it fails the attempt. If nil, connections are reused regardless.
 	Named func(header *protocol.ResponseHeader) bool
 }
 
