Don't restore estimates that are out of range from a row

Thirteen odd values in every kind of row that a node reads (contacts, state, requests that crash servers, rows beside the routes) end no node, and nodes find each other and follow the routes: the test passes on the code as it is, but for one thing that it can't see: a level of 1e308 or below zero in a node's own row was restored, averaged with later reports, and would have admitted or refused everything for hours. Such a row is now rejected with a log line, as a malformed one is; the test in internal/resume failed in four cases.

--- a/internal/demand/memory.go
+++ b/internal/demand/memory.go
@@ -4,6 +4,8 @@
 	"math"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/pistachiotack/pistachiotack/pkg/fanout"
 )
 
@@ -12,6 +14,8 @@
 	minLevelChange = 0.15
 	// maxLevelAge is the age above which stored levels are not restored. Load surges last seconds to minutes.
 	maxLevelAge = time.Minute
+	// maxStoredCalls bounds the calls to a service per request in a stored snapshot.
+	maxStoredCalls = 1e6
 )
 
 // Snapshot is the stored state with which a node admits call trees correctly right after a restart.
@@ -23,6 +27,25 @@
 	Needs   map[string][]fanout.Need `json:"needs,omitempty"`
 }
 
+// Validate returns an error if a level is not between 0 and 1 or a number of calls is out of range. Such a level would refuse or admit
+// all requests for hours, since it is averaged with what is reported later.
+func (s Snapshot) Validate() error {
+	for service, level := range s.Levels {
+		if level < 0 || level > 1 {
+			return errors.Newf("level %g of %q is not between 0 and 1", level, service)
+		}
+	}
+	for route, needs := range s.Needs {
+		for _, need := range needs {
+			if need.Calls < 0 || need.Calls > maxStoredCalls {
+				return errors.Newf("%g calls to %q by %q are not between 0 and %g", need.Calls, need.Service, route, float64(maxStoredCalls))
+			}
+		}
+	}
+
+	return nil
+}
+
 // SimilarTo reports whether the other snapshot is so similar that it need not be stored again.
 func (s Snapshot) SimilarTo(other Snapshot) bool {
 	if len(s.Levels) != len(other.Levels) || len(s.Origins) != len(other.Origins) || len(s.Needs) != len(other.Needs) {
--- a/internal/resume/past.go
+++ b/internal/resume/past.go
@@ -77,6 +77,9 @@
 	if err := json.Unmarshal(text, &r); err != nil {
 		return state{}, errors.Wrap(err, "decode the node's row")
 	}
+	if err := r.Demand.Validate(); err != nil {
+		return state{}, errors.Wrap(err, "check the node's row")
+	}
 	snapshot := beat.Snapshot{
 		Heartbeat: beat.Heartbeat{
 			ID: r.ID, Service: r.Service, Address: r.Address, StartedAt: r.StartedAt, Sequence: r.Sequence, Slots: r.Slots,
