Take a route that succeeds while calls fail for one that doesn't make them

Cause: the calls that executions make are estimated from counts in windows of 250 ms. At the onset of an overload calls come later and later after the start of what makes them; the error goes to the route that is executed most rarely beside the others, with up to 40 calls for each execution, and stays there while calls fail. Change: a route's executions that end well are counted in windows in which calls fail. Where fewer than 0.3 of those fail that would if each made one of the calls, the route doesn't need them, and the windows are explained by the other routes.

--- a/internal/demand/demand.go
+++ b/internal/demand/demand.go
@@ -176,6 +176,13 @@
 	return callers.Origin(services)
 }
 
+// CountEnd counts the end of a call on the local backend server, and whether that responded with a failure.
+func (d *Demand) CountEnd(hop wire.Hop, failed bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.estimator.CountEnd(hop.Key(), failed)
+}
+
 // CountRequest counts a request that enters at this node and returns the origin of the requests on its route. It counts as a call
 // by the local backend server if that origin is OriginServers.
 func (d *Demand) CountRequest(route, service string) fanout.Origin {
@@ -212,11 +219,11 @@
 }
 
 // ObserveFailure records that a call by the local backend server failed.
-func (d *Demand) ObserveFailure(now time.Time) {
+func (d *Demand) ObserveFailure(now time.Time, route, service string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.failedAt = now
-	d.estimator.CountFailure()
+	d.estimator.CountFailure(wire.RouteKey(route, service))
 }
 
 // FailedRecently reports whether a call by the local backend server failed recently enough to explain an error response of its
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -72,7 +72,7 @@
 	// ObserveCall counts a call to a service, and whether it ended before its deadline.
 	ObserveCall(now time.Time, service string, finished bool)
 	// ObserveFailure records that a call of the local backend server failed.
-	ObserveFailure(now time.Time)
+	ObserveFailure(now time.Time, route, service string)
 	// Decide reports whether the services that the request's call tree needs have capacity for it.
 	Decide(now time.Time, route, service string, request shed.Request) shed.Decision
 	// EstimatedLevel returns this node's estimate of the admission level of a service (the share of its demand that is admitted), negative if
--- a/internal/front/handle.go
+++ b/internal/front/handle.go
@@ -235,7 +235,7 @@
 	wire.ForwardResponse(&r.http.Response, &response.Response)
 	r.http.Response.Header.Set(headerKeepAlive, keepAlive(r.table.Limits().IdleTimeout))
 	if r.origin == fanout.OriginServers && response.Response.StatusCode() >= statusServerError {
-		r.front.demand.ObserveFailure(time.Now())
+		r.front.demand.ObserveFailure(time.Now(), r.route.Name, r.service)
 	}
 	latency := time.Since(r.arrivedAt)
 	r.front.observeLatency(r.route.Name, latency)
@@ -263,7 +263,7 @@
 		detail += ", retry after " + seconds + " s"
 	}
 	if r.origin == fanout.OriginServers {
-		r.front.demand.ObserveFailure(time.Now())
+		r.front.demand.ObserveFailure(time.Now(), r.route.Name, r.service)
 	}
 	r.front.refused.WithTag(string(refusal.Reason)).Inc(1)
 	r.traceDecision(trace.StepRefuse, "", refusal.Outcome, refusal.Reason, detail)
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -47,6 +47,8 @@
 type Demand interface {
 	// CountExecution counts a call that runs on the local backend server, and returns the origin of the requests on its route.
 	CountExecution(hop wire.Hop, services int) fanout.Origin
+	// CountEnd counts the end of such a call, and whether the backend server responded with a failure.
+	CountEnd(hop wire.Hop, failed bool)
 	// FailedRecently reports whether a call made by the backend server failed so recently that it may have caused a failed response.
 	FailedRecently(now time.Time) bool
 	// CompleteReport adds the estimates for the route to a report.
--- a/internal/guard/run.go
+++ b/internal/guard/run.go
@@ -184,7 +184,11 @@
 	}
 	x.resetFailedDials()
 	report := x.classify(response)
-	if report.Outcome == call.OutcomeRan && x.guard.crashes.Active() {
+	if report.Outcome != call.OutcomeRan {
+		return report
+	}
+	x.guard.demand.CountEnd(x.hop, report.Reason == call.ReasonBackendFault)
+	if x.guard.crashes.Active() {
 		x.guard.crashes.RecordResponse(x.requestID())
 	}
 
--- a/pkg/fanout/fanout_test.go
+++ b/pkg/fanout/fanout_test.go
@@ -61,7 +61,7 @@
 		executions := 40 + rng.IntN(20)
 		addWindow(e, rng, executions, 2+rng.IntN(6), 1.3)
 		for range executions * 8 / 10 {
-			e.CountFailure()
+			e.CountFailure("calibrate")
 		}
 		e.CloseWindow()
 		require.InDelta(t, 4.0, e.Callees("index")["calibrate"], 0.5)
@@ -93,7 +93,7 @@
 		for range 240 {
 			addWindow(e, rng, 40+rng.IntN(20), 2+rng.IntN(6), calls)
 			if rng.IntN(3) == 0 {
-				e.CountFailure()
+				e.CountFailure("calibrate")
 			}
 			e.CloseWindow()
 		}
@@ -110,7 +110,7 @@
 			addWindow(e, rng, 40+rng.IntN(20), 2+rng.IntN(6), calls)
 			if calls > 1 {
 				for range 20 {
-					e.CountFailure()
+					e.CountFailure("calibrate")
 				}
 			}
 			e.CloseWindow()
--- a/pkg/fanout/learn.go
+++ b/pkg/fanout/learn.go
@@ -53,9 +53,13 @@
 	windows []int
 	// executed holds for each executed route the number of its executions in closed windows.
 	executed []float64
-	// failures is the number of failed calls in the current window, and failedShare the moving average of their share.
-	failures    float64
+	// failures holds the failed calls to each called route in the current window, and ends the ended executions of each executed route.
+	failures map[string]float64
+	ends     map[string]ends
+	// failedShare is the moving average of the share of failed calls.
 	failedShare float64
+	// dependences holds for each called route how the executed routes depend on it.
+	dependences map[string]map[string]dependence
 	// whole holds the significant coefficients from before most executions began to fail, nil while few do. Estimates are at least as
 	// high until they stop failing.
 	whole map[string][]float64
@@ -63,7 +67,10 @@
 
 // NewEstimator returns an estimator without data.
 func NewEstimator() *Estimator {
-	return &Estimator{calls: map[string]float64{}, coefficients: map[string][]float64{}, errorVariance: map[string]float64{}}
+	return &Estimator{
+		calls: map[string]float64{}, coefficients: map[string][]float64{}, errorVariance: map[string]float64{},
+		failures: map[string]float64{}, ends: map[string]ends{}, dependences: map[string]map[string]dependence{},
+	}
 }
 
 // CountExecution counts one execution of a route in the current window.
@@ -103,6 +110,7 @@
 	clear(e.coefficients)
 	clear(e.calls)
 	clear(e.errorVariance)
+	clear(e.dependences)
 	e.whole = nil
 }
 
@@ -114,9 +122,19 @@
 	}
 }
 
-// CountFailure counts a call by the backend server that failed in the current window.
-func (e *Estimator) CountFailure() {
-	e.failures++
+// CountFailure counts a call by the backend server to a route that failed in the current window.
+func (e *Estimator) CountFailure(called string) {
+	e.failures[called]++
+}
+
+// CountEnd counts the end of an execution of a route in the current window, and whether the backend server responded with a failure.
+func (e *Estimator) CountEnd(executed string, failed bool) {
+	ended := e.ends[executed]
+	ended.total++
+	if failed {
+		ended.failed++
+	}
+	e.ends[executed] = ended
 }
 
 // Calls returns the estimated number of calls to one route per execution of another.
@@ -159,6 +177,9 @@
 		return callees
 	}
 	for called := range e.coefficients {
+		if e.independent(called, index) {
+			continue
+		}
 		if calls := e.Calls(executed, called); e.significant(called, index) || e.wholeCalls(called, index) > 0 {
 			callees[called] = calls
 		}
@@ -178,6 +199,7 @@
 // CloseWindow updates the estimates with the counts of the current window and begins a new one. Executions that fail make fewer calls
 // than whole ones: while many do, the estimates from before are kept as the lower bound, or their call trees would look light.
 func (e *Estimator) CloseWindow() {
+	e.observeDependence()
 	e.updateFailedShare()
 	e.forget()
 	gain, squaredNorm := e.gain()
@@ -191,23 +213,24 @@
 			e.errorVariance[called] += errorVarianceWeight * (posteriorError*posteriorError - e.errorVariance[called])
 		}
 		e.updateCovariance(gain)
+		for called, coefficients := range e.coefficients {
+			e.excludeIndependent(called, coefficients)
+		}
 	}
 	clear(e.executions)
 	clear(e.calls)
-	e.failures = 0
+	clear(e.failures)
+	clear(e.ends)
 }
 
 // updateFailedShare adds the current window to the share of failed calls, and keeps or restores the estimates of whole executions when
 // the share passes maxFailedShare.
 func (e *Estimator) updateFailedShare() {
-	calls := 0.0
-	for _, count := range e.calls {
-		calls += count
-	}
-	if calls+e.failures == 0 {
+	calls, failures := sum(e.calls), sum(e.failures)
+	if calls+failures == 0 {
 		return
 	}
-	e.failedShare += failedShareWeight * (e.failures/max(calls, e.failures) - e.failedShare)
+	e.failedShare += failedShareWeight * (failures/max(calls, failures) - e.failedShare)
 	switch failing := e.failedShare > maxFailedShare; {
 	case failing && e.whole == nil:
 		e.keepWhole()
@@ -216,13 +239,22 @@
 	}
 }
 
+func sum(counts map[string]float64) float64 {
+	total := 0.0
+	for _, count := range counts {
+		total += count
+	}
+
+	return total
+}
+
 // keepWhole keeps the significant estimates.
 func (e *Estimator) keepWhole() {
 	e.whole = map[string][]float64{}
 	for called, coefficients := range e.coefficients {
 		kept := make([]float64, len(coefficients))
 		for i, calls := range coefficients {
-			if e.significant(called, i) {
+			if e.significant(called, i) && !e.independent(called, i) {
 				kept[i] = calls
 			}
 		}
