--- a/internal/tune/tune.go
+++ b/internal/tune/tune.go
@@ -6,6 +6,16 @@
 	"runtime/debug"
 )
 
+const (
+	sidecarProcessors = 1
+	// sidecarGCPercent is higher than nodeGCPercent: calls wait while garbage is collected, and call trees pass one node many times.
+	sidecarGCPercent = 100
+	// sidecarMemoryShare is the share of the VM's memory above which garbage is collected earlier.
+	sidecarMemoryShare = 0.5
+	// nodeGCPercent is low because a node keeps little memory from one call to the next.
+	nodeGCPercent = 50
+)
+
 // Limits bound what the runtime takes. The environment variables GOMAXPROCS, GOGC and GOMEMLIMIT go first.
 type Limits struct {
 	// Processors is the number of processors that are used at the same time.
@@ -29,21 +39,11 @@
 	}
 }
 
-// sidecarGCPercent is higher than that of a node with settings of its own: calls wait while garbage is collected, and many call trees
-// pass one node many times.
-const sidecarGCPercent = 100
-
-// sidecarMemoryShare is the share of the VM's memory from which garbage is collected earlier.
-const sidecarMemoryShare = 0.5
-
 // Sidecar returns the limits of a node on a VM with the given memory, zero if unknown.
 func Sidecar(memoryBytes int64) Limits {
-	return Limits{Processors: 1, GCPercent: sidecarGCPercent, MemoryBytes: int64(sidecarMemoryShare * float64(memoryBytes))}
+	return Limits{Processors: sidecarProcessors, GCPercent: sidecarGCPercent, MemoryBytes: int64(sidecarMemoryShare * float64(memoryBytes))}
 }
 
-// nodeGCPercent is low because a node keeps little memory from one call to the next.
-const nodeGCPercent = 50
-
 // Node returns the limits of a node whose settings state a number of processors.
 func Node(processors int) Limits {
 	return Limits{Processors: processors, GCPercent: nodeGCPercent}
