--- a/review/drive/logs.go
+++ b/review/drive/logs.go
@@ -10,9 +10,9 @@
 
 const (
 	// fillTime is the time from the pause of the collector to the first change, in which decisions fill the pipe.
-	fillTime = 6 * time.Second
+	fillTime = 14 * time.Second
 	// changeGap is the time between two changes of the manifest.
-	changeGap = 5 * time.Second
+	changeGap = 7 * time.Second
 )
 
 // collector reads the log of a process from a pipe, and may pause.
@@ -74,7 +74,7 @@
 	}
 	time.Sleep(fillTime)
 	changes := []change{firstChange()}
-	for i, service := range []string{serviceDesk, serviceShop, serviceDesk} {
+	for i, service := range []string{serviceDesk, serviceShop} {
 		changed, err := w.changeRoute(store, i+2, service)
 		if err != nil {
 			return nil, err
