--- a/review/drive/main.go
+++ b/review/drive/main.go
@@ -27,6 +27,7 @@
 	"logs":   playLogs,
 	"silent": playSilent,
 	"stop":   playStop,
+	"stray":  playStray,
 }
 
 var errUsage = errors.New("usage: drive CASE RECORD")
