--- a/review/drive/stray.go
+++ b/review/drive/stray.go
@@ -13,7 +13,7 @@
 	strayServeOn = 10 * time.Second
 )
 
-// playStray lets a target leave by its deregistration. With trouble a heartbeat of another writer comes, which lacks a field.
+// playStray lets a target leave by its deregistration. With trouble a heartbeat of another writer comes, which lacks fields.
 func playStray(ctx context.Context, w *world) ([]string, error) {
 	store, err := w.startStore()
 	if err != nil {
@@ -34,11 +34,11 @@
 	acknowledged := time.Now()
 	time.Sleep(strayAfter)
 	if w.trouble {
-		body, err := withoutField(leaving.heartbeat(stateReady), "born")
+		body, err := leaving.strayHeartbeat()
 		if err != nil {
 			return nil, err
 		}
-		w.record.add("another writer sends a heartbeat without born")
+		w.record.add("another writer sends a heartbeat that lacks born, zone and version")
 		leaving.send(ctx, leaving.node.ports.Control, body)
 	}
 	time.Sleep(time.Until(acknowledged.Add(strayServeOn)))
@@ -53,13 +53,17 @@
 	return broken, nil
 }
 
-// withoutField returns a JSON object without one of its fields.
-func withoutField(text []byte, name string) ([]byte, error) {
+// strayHeartbeat returns a heartbeat with the target's id and the state ready that lacks three fields.
+func (t *target) strayHeartbeat() ([]byte, error) {
 	var fields map[string]any
-	if err := json.Unmarshal(text, &fields); err != nil {
+	if err := json.Unmarshal(t.heartbeat(stateReady), &fields); err != nil {
 		return nil, err
 	}
-	delete(fields, name)
+	delete(fields, "born")
+	if info, ok := fields["info"].(map[string]any); ok {
+		delete(info, "zone")
+		delete(info, "version")
+	}
 
 	return json.Marshal(fields)
 }
