--- a/review/drive/drain.go
+++ b/review/drive/drain.go
@@ -11,12 +11,12 @@
 	// drainTime is drain_s of the site.
 	drainTime = 2 * time.Second
 	// beatDelay is how late one heartbeat arrives.
-	beatDelay = 2500 * time.Millisecond
+	beatDelay = 4500 * time.Millisecond
 	// killAfter is the time from the acknowledgement to the kill of the process, and downTime that to its next start.
 	killAfter = 200 * time.Millisecond
 	downTime  = 500 * time.Millisecond
 	// turnedAwayTime is how long the store turns the machine away.
-	turnedAwayTime = 2 * time.Second
+	turnedAwayTime = time.Second
 	// serveOn is how long the leaving target serves after its acknowledgement.
 	serveOn = 10 * time.Second
 	// calmAfter is the time from the acknowledgement until all machines are in touch again.
--- a/review/drive/target.go
+++ b/review/drive/target.go
@@ -23,6 +23,7 @@
 	headerNotRun    = "Pistachiotack-Not-Executed"
 	headerInstance  = "Pistachiotack-Instance-Id"
 	headerCaller    = "Pistachiotack-Caller-Service"
+	headerLeaving   = "Server-Leaving"
 	headerWork      = "X-Work-Ms"
 )
 
@@ -92,6 +93,7 @@
 	t.mu.Unlock()
 	if leaving {
 		header.Set("Connection", "close")
+		header.Set(headerLeaving, "1")
 	}
 	switch wanted := r.Header.Get(headerTarget); {
 	case r.URL.Path == healthPath:
