--- a/review/drive/asking.go
+++ b/review/drive/asking.go
@@ -39,12 +39,12 @@
 func (w *world) startAsking(ctx context.Context, pairs []*pair, request func(id string) ask) *asking {
 	a := &asking{answers: make(chan answer, maxAnswers)}
 	ctx, a.cancel = context.WithCancel(ctx)
-	for _, p := range pairs {
+	for index, p := range pairs {
 		for i := range clientsPerNode {
 			a.clients.Go(func() {
 				client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 3 * time.Second}}
 				for number := 0; ctx.Err() == nil; number++ {
-					id := fmt.Sprintf("%s-%d-%d", p.node.name, i, number)
+					id := fmt.Sprintf("%s-%d-%d", p.node.name, index*clientsPerNode+i, number)
 					a.answers <- w.do(context.WithoutCancel(ctx), client, p.node, request(id))
 					time.Sleep(clientPause)
 				}
