Log how long the store has been silent when routes change

Change: the time since the store's last response in the lines about routes and as a gauge, the version in force as a gauge, and the version of the routes in refusals without a route. No logic changed. Conclusion: a node that hears of a version late now shows whether its own poll was held, lost or answered.

--- a/internal/front/handle.go
+++ b/internal/front/handle.go
@@ -295,9 +295,11 @@
 		Detail:  detail,
 		Elapsed: time.Since(r.arrivedAt),
 	}
+	if r.table != nil {
+		decision.Revision = r.table.Version()
+	}
 	if r.route != nil {
 		decision.Kind = r.route.Name
-		decision.Revision = r.table.Version()
 	}
 	r.front.tracer.Record(decision)
 }
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/pistachiotack/pistachiotack/internal/kernel"
+	"github.com/pistachiotack/pistachiotack/internal/meter"
 	"github.com/pistachiotack/pistachiotack/internal/panics"
 	"github.com/pistachiotack/pistachiotack/internal/waits"
 	"github.com/pistachiotack/pistachiotack/pkg/eras"
@@ -88,6 +89,9 @@
 	pending      Manifest
 	pendingUntil time.Time
 	table        atomic.Pointer[routes.Table]
+	// startedAt is when polling began, heardAt when the platform last responded to a poll, zero if it has not yet.
+	startedAt time.Time
+	heardAt   atomic.Pointer[time.Time]
 }
 
 // hint is the control address of a node and the newer version that it has.
@@ -115,9 +119,16 @@
 	if r.members, err = kernel.Find[Members](k, "gossip"); err != nil {
 		return nil, err
 	}
+	metrics, err := kernel.Find[*meter.Meter](k, meter.Name)
+	if err != nil {
+		return nil, err
+	}
+	metrics.RegisterGauge("routes_version", func() float64 { return float64(r.Revision()) })
+	metrics.RegisterGauge("routes_store_silence_seconds", func() float64 { return r.storeSilence().Seconds() })
 	if err = r.control.Register(receiverName, &Receiver{rules: r}); err != nil {
 		return nil, err
 	}
+	r.startedAt = time.Now()
 	ctx, r.cancel = context.WithCancel(ctx)
 	r.loops, ctx = errgroup.WithContext(ctx)
 	r.loops.Go(func() error { return panics.Keep(ctx, r.log, "routes from the store", r.watchFeed) })
@@ -149,6 +160,15 @@
 	return 0
 }
 
+// storeSilence returns the time since the platform last responded to a poll, since the start if it has not yet.
+func (r *Rules) storeSilence() time.Duration {
+	if at := r.heardAt.Load(); at != nil {
+		return time.Since(*at)
+	}
+
+	return time.Since(r.startedAt)
+}
+
 // NotifyVersion queues a hint that the node at the control address has the given version. A version that is not newer is ignored.
 func (r *Rules) NotifyVersion(version uint64, control string) {
 	if version <= r.Revision() || control == "" {
@@ -169,6 +189,8 @@
 		switch {
 		case err == nil:
 			r.logReturn(ctx, failures)
+			now := time.Now()
+			r.heardAt.Store(&now)
 			cursor, haveCursor, failures = next, true, 0
 			r.applyFromPlatform(ctx, manifest)
 		case errors.Is(err, ErrCursorExpired):
@@ -209,7 +231,7 @@
 	if failures != 1 || ctx.Err() != nil {
 		return
 	}
-	r.log.LogAttrs(ctx, slog.LevelWarn, "platform lost", slog.String("error", err.Error()))
+	r.log.LogAttrs(ctx, slog.LevelWarn, "platform lost", slog.Duration("silence", r.storeSilence()), slog.String("error", err.Error()))
 }
 
 // logReturn logs that the platform answers again after an outage.
@@ -242,5 +264,6 @@
 		slog.Uint64("version", table.Version()),
 		slog.Uint64("before", previous),
 		slog.String("source", source),
+		slog.Duration("storeSilence", r.storeSilence()),
 	)
 }
