--- a/tools/soak/main.go
+++ b/tools/soak/main.go
@@ -30,6 +30,7 @@
 	Seeds    int           `help:"Number of seeds, one after another." default:"1"`
 	Nodes    int           `help:"Number of node processes." default:"9"`
 	Troubles time.Duration `help:"Time in which faults begin." default:"20s"`
+	Rounds   bool          `help:"One fault at a time, each followed by calm and by changes of the routes."`
 	Keep     string        `help:"Directory for settings and logs, kept afterwards." default:"out/soak"`
 }
 
@@ -74,7 +75,7 @@
 	defer func() { err = errors.CombineErrors(err, log.Close()) }()
 
 	return soak.Run(ctx, soak.Options{
-		Seed: seed, Binary: binary, Directory: directory, Nodes: c.Nodes, FaultTime: c.Troubles,
+		Seed: seed, Binary: binary, Directory: directory, Nodes: c.Nodes, FaultTime: c.Troubles, Rounds: c.Rounds,
 		Log: slog.New(slog.NewJSONHandler(io.Writer(log), nil)),
 	})
 }
