Notice a silent connection to the store in time to follow a change of routes

What callers saw: after all open connections to the store had gone silent, requests were handled by the older routes for up to 22 s after a newer version was acknowledged. Cause: a node learned of versions by a poll that the store holds for 20 s, and nothing bounded its silence but a timeout of 22 s. TCP keep-alive does not help where something between node and store answers it. All polls restart together with each change, so all were lost together and no node could tell the others. Change: the time of a poll is drawn at random, 0.3 to 1.5 s in a small fleet and longer in a large one (pkg/pace), so that in a fleet of any size one node notices within the bound; the others have the version from it.

--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -17,6 +17,7 @@
 	"github.com/pistachiotack/pistachiotack/internal/waits"
 	"github.com/pistachiotack/pistachiotack/pkg/eras"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
+	"github.com/pistachiotack/pistachiotack/pkg/pace"
 	"github.com/pistachiotack/pistachiotack/pkg/routes"
 )
 
@@ -25,8 +26,13 @@
 const Name = "holder"
 
 const (
-	// feedPollTimeout is the time for which the platform holds a poll of the change feed open.
-	feedPollTimeout = 20 * time.Second
+	// minPollWait and maxPollWait bound the time for which the platform holds a poll of the change feed. A connection that has gone silent
+	// is noticed at the end of that time, and by one node of the fleet is enough, as it passes newer versions on. The time is drawn at
+	// random with a mean of meanPollWait, and longer in large fleets, in which polls are pollsApart apart on average.
+	minPollWait  = 300 * time.Millisecond
+	meanPollWait = 900 * time.Millisecond
+	maxPollWait  = 20 * time.Second
+	pollsApart   = 100 * time.Millisecond
 	// feedInterval is the pause between polls, so that changes in quick succession are fetched together.
 	feedInterval = 250 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the mean delay after a failed poll.
@@ -213,7 +219,15 @@
 		return r.feed.Newest(ctx)
 	}
 
-	return r.feed.Next(ctx, cursor, feedPollTimeout)
+	return r.feed.Next(ctx, cursor, r.pollWait())
+}
+
+// pollWait returns the time for which the platform is asked to hold the next poll.
+func (r *Rules) pollWait() time.Duration {
+	mean := pace.Interval(meanPollWait, len(r.members.All()), pollsApart)
+	longest := min(2*mean-minPollWait, maxPollWait)
+
+	return minPollWait + rand.N(longest-minPollWait)
 }
 
 // pollDelay returns the pause before the next poll. After failures it doubles up to maxRetryDelay, with jitter.
