Never wait for the reader of the log

What callers saw: requests without a response, beyond their route's timeout, and routes that stayed old, while nobody read a node's standard output; a node ended when the reader did. Cause: slog wrote to standard output from whoever logs, also under the locks of the guard and of the routes, which every request and every new version need. A pipe takes 64 KiB; a pipe without a reader ends a Go process by SIGPIPE. Only decisions were buffered. Change: all lines of a node process pass a bounded buffer (internal/spool) that is written in the background; what does not fit is dropped, counted in a metric and reported in a line. No lock has to be looked at for log lines any more.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -86,6 +86,7 @@
 		return nil, err
 	}
 	metrics.RegisterGauge("decisions_dropped", func() float64 { return float64(log.Dropped()) })
+	metrics.RegisterGauge("log_lines_dropped", func() float64 { return float64(log.LinesDropped()) })
 	routes := []Route{
 		{Method: "GET", Path: "/metrics", Handle: showMetrics(metrics)},
 		{Method: "GET", Path: "/explain/:id", Handle: func(_ context.Context, ctx *app.RequestContext) {
--- a/internal/cmds/node.go
+++ b/internal/cmds/node.go
@@ -1,8 +1,6 @@
 package cmds
 
 import (
-	"io"
-	"log/slog"
 	"os"
 
 	"github.com/cockroachdb/errors"
@@ -29,12 +27,13 @@
 	if err != nil || c.Check {
 		return err
 	}
-	log, err := newLogger(env.Out, settings.Log.Level)
+	log, closeLog, err := openProcessLog(env, settings.Log.Level)
 	if err != nil {
 		return err
 	}
+	defer closeLog()
 	tune.Apply(tune.Node(settings.Processors))
-	started, err := node.Start(env.Context, settings, snapshot, node.Logs{Log: log, Decisions: env.Out})
+	started, err := node.Start(env.Context, settings, snapshot, node.Logs{Log: log.Logger, Decisions: log.lines})
 	if err != nil {
 		return err
 	}
@@ -59,16 +58,3 @@
 
 	return tree.NewSnapshot(0, parsed), nil
 }
-
-func newLogger(out io.Writer, level string) (*slog.Logger, error) {
-	var parsed slog.Level
-	if err := parsed.UnmarshalText([]byte(level)); err != nil {
-		return nil, errors.Wrap(err, "parse log level")
-	}
-
-	log := slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: parsed}))
-	// connections of all listeners log to it when a handler panics
-	slog.SetDefault(log)
-
-	return log, nil
-}
--- a/internal/cmds/side.go
+++ b/internal/cmds/side.go
@@ -19,12 +19,13 @@
 	if err != nil || c.Check {
 		return err
 	}
-	log, err := newLogger(env.Out, c.LogLevel)
+	log, closeLog, err := openProcessLog(env, c.LogLevel)
 	if err != nil {
 		return err
 	}
+	defer closeLog()
 	tune.Apply(tune.Sidecar(settings.MemoryBytes))
-	if err := adapt.Run(env.Context, settings, log, env.Out); err != nil {
+	if err := adapt.Run(env.Context, settings, log.Logger, log.lines); err != nil {
 		log.Error("node failed", slog.String("error", err.Error()))
 
 		return err
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -150,6 +150,15 @@
 	return l.dropped.Load()
 }
 
+// LinesDropped returns the number of lines of any kind that the output has dropped, zero if it does not count them.
+func (l *Log) LinesDropped() uint64 {
+	if output, counts := l.output.(interface{ Dropped() uint64 }); counts {
+		return output.Dropped()
+	}
+
+	return 0
+}
+
 // Explain returns the decisions in memory whose operation or root request has the ID, oldest first.
 func (l *Log) Explain(id string) []Decision {
 	return l.recent.find(id)
