Reject versions of the routes that can't be meant

What callers saw: 404 or 503 for all or some requests, or time-outs, after an invalid version had been published. Cause: a version was taken as soon as it could be decoded and its prefixes and weights made sense.

--- a/pkg/routes/route.go
+++ b/pkg/routes/route.go
@@ -28,6 +28,14 @@
 	Weight  float64
 }
 
+// invalid reports whether the service can't get requests by its weight.
+func (s WeightedService) invalid() bool {
+	return s.Service == "" || s.Weight < 0
+}
+
+// MaxTimeout is the longest timeout and latency target that a route may have.
+const MaxTimeout = 24 * time.Hour
+
 // Route defines how requests with a given host and path prefix are forwarded.
 type Route struct {
 	Name        string
--- a/pkg/routes/table.go
+++ b/pkg/routes/table.go
@@ -22,13 +22,21 @@
 
 // NewTable validates the routes and returns a table of them, or an error that wraps ErrInvalid.
 func NewTable(version uint64, list []Route) (*Table, error) {
+	if len(list) == 0 {
+		return nil, errors.Wrap(ErrInvalid, "no route at all")
+	}
 	t := &Table{version: version, hosts: map[string][]*Route{}, healthPaths: map[string]string{}}
+	names := map[string]string{}
 	for i := range list {
 		route := list[i]
 		if err := validate(&route); err != nil {
 			return nil, err
 		}
 		host := strings.ToLower(route.Host)
+		if other, found := names[host+route.Prefix]; found {
+			return nil, errors.Wrapf(ErrInvalid, "routes %q and %q have the same host %s and prefix %s", other, route.Name, host, route.Prefix)
+		}
+		names[host+route.Prefix] = route.Name
 		t.hosts[host] = append(t.hosts[host], &route)
 		t.lowestPriority = max(t.lowestPriority, route.Priority)
 		for _, service := range route.Services {
@@ -52,6 +60,12 @@
 		return errors.Wrapf(ErrInvalid, "route %q: prefix %q does not begin and end with a slash", route.Name, route.Prefix)
 	case len(route.Services) == 0 || route.TotalWeight() <= 0:
 		return errors.Wrapf(ErrInvalid, "route %q has no service with a positive weight", route.Name)
+	case slices.ContainsFunc(route.Services, WeightedService.invalid):
+		return errors.Wrapf(ErrInvalid, "route %q has a service without a name or with a negative weight", route.Name)
+	case route.Timeout < 0 || route.Timeout > MaxTimeout:
+		return errors.Wrapf(ErrInvalid, "route %q: timeout %v is not between 0 and %v", route.Name, route.Timeout, MaxTimeout)
+	case route.LatencyTarget < 0 || route.LatencyTarget > MaxTimeout:
+		return errors.Wrapf(ErrInvalid, "route %q: latency target %v is not between 0 and %v", route.Name, route.LatencyTarget, MaxTimeout)
 	case route.Attempts < 1:
 		return errors.Wrapf(ErrInvalid, "route %q allows no attempts", route.Name)
 	case route.Priority < 0:
