Split the checks of a route

Cause: the linter's bound on the complexity of a function. Conclusion: TestManifestThatCannotBeMeantIsRejected and TestNewTableRejectsInvalidRoutes pass.

--- a/pkg/routes/table.go
+++ b/pkg/routes/table.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
@@ -62,16 +63,22 @@
 		return errors.Wrapf(ErrInvalid, "route %q has no service with a positive weight", route.Name)
 	case slices.ContainsFunc(route.Services, WeightedService.invalid):
 		return errors.Wrapf(ErrInvalid, "route %q has a service without a name or with a negative weight", route.Name)
-	case route.Timeout < 0 || route.Timeout > MaxTimeout:
-		return errors.Wrapf(ErrInvalid, "route %q: timeout %v is not between 0 and %v", route.Name, route.Timeout, MaxTimeout)
-	case route.LatencyTarget < 0 || route.LatencyTarget > MaxTimeout:
-		return errors.Wrapf(ErrInvalid, "route %q: latency target %v is not between 0 and %v", route.Name, route.LatencyTarget, MaxTimeout)
 	case route.Attempts < 1:
 		return errors.Wrapf(ErrInvalid, "route %q allows no attempts", route.Name)
 	case route.Priority < 0:
 		return errors.Wrapf(ErrInvalid, "route %q has a negative priority", route.Name)
 	}
 
+	return validateTimes(route)
+}
+
+func validateTimes(route *Route) error {
+	for name, value := range map[string]time.Duration{"timeout": route.Timeout, "latency target": route.LatencyTarget} {
+		if value < 0 || value > MaxTimeout {
+			return errors.Wrapf(ErrInvalid, "route %q: %s %v is not between 0 and %v", route.Name, name, value, MaxTimeout)
+		}
+	}
+
 	return nil
 }
 
