Refuse requests that may outlast a node that is being stopped

What callers saw: in a planned stop in calm, bookings that were sent 3 s and more after the signal were taken, passed on and cut at the end of the node without an answer; they ran all the same. Cause: under steady requests a node is never idle, so it takes requests until three quarters of its grace period, and ends at 0.83 to 0.92 of it whatever is running. Nothing compared a request's deadline with that end. Change: from 2.5 s after the signal a request whose deadline lies beyond the time until which the node waits is refused as not run. The node waits until 0.88 of the grace period.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -132,6 +132,7 @@
 	splitter        *routes.Splitter
 	active          atomic.Int64
 	refusing        atomic.Bool
+	ending          atomic.Pointer[ending]
 
 	mu        sync.Mutex
 	quota     *quota.Quota
@@ -233,6 +234,23 @@
 	f.refusing.Store(true)
 }
 
+// ending says until when a node that is being stopped answers requests.
+type ending struct {
+	from, until time.Time
+}
+
+// RefuseLate refuses requests that come from the given time on and may last beyond the other one, at which the node stops waiting.
+func (f *Front) RefuseLate(from, until time.Time) {
+	f.ending.Store(&ending{from: from, until: until})
+}
+
+// tooLate reports whether the node may end before a request with the deadline does.
+func (f *Front) tooLate(now, deadline time.Time) bool {
+	end := f.ending.Load()
+
+	return end != nil && now.After(end.from) && deadline.After(end.until)
+}
+
 // Active returns the number of requests that have no response yet.
 func (f *Front) Active() int64 {
 	return f.active.Load()
--- a/internal/routed/node.go
+++ b/internal/routed/node.go
@@ -179,8 +179,10 @@
 	minIdleTime = 300 * time.Millisecond
 	// Shares of the grace period after which the node refuses new requests, stops waiting for those in progress, and has ended.
 	refuseShare  = 0.75
-	abandonShare = 0.83
+	abandonShare = 0.88
 	stopShare    = 0.92
+	// answerMargin is the time allowed for a response after its deadline.
+	answerMargin = 100 * time.Millisecond
 	// drainInterval is the time between checks for requests in progress, and the time allowed for the last responses to be written.
 	drainInterval = 20 * time.Millisecond
 )
@@ -191,11 +193,12 @@
 	n.draining.Store(true)
 	n.front.DisableKeepAlives()
 	n.gossip.SetLeaving()
+	deregistration := min(deregistrationDelay, n.graceDeadline(stopStartedAt, maxDeregistrationShare).Sub(stopStartedAt))
+	n.front.RefuseLate(stopStartedAt.Add(deregistration), n.graceDeadline(stopStartedAt, abandonShare).Add(-answerMargin))
 	n.log.LogAttrs(ctx, slog.LevelInfo, "node leaves",
 		slog.Int64("requests", n.front.Active()), slog.Int64("executions", n.guard.Active()))
 	n.waitForTurn(ctx, stopStartedAt)
 	n.guard.StartDraining()
-	deregistration := min(deregistrationDelay, n.graceDeadline(stopStartedAt, maxDeregistrationShare).Sub(stopStartedAt))
 	n.waitIdle(n.graceDeadline(stopStartedAt, refuseShare), func(idle time.Duration) bool {
 		return time.Since(stopStartedAt) >= deregistration && idle >= minIdleTime
 	})
