Ask different nodes for newer routes

What callers saw: nothing yet; found on looking for further held calls. Cause: a node that hears of a newer version by membership asked the first node with that version each time, 0.5 s long, also if that one was frozen or gone. While the store is away, nobody else was asked. Evidence: TestNodeThatDoesNotAnswerKeepsNobodyFromNewerRoutes failed: no routes after 10 s. Change: one of the nodes with the newest version is chosen at random each time.

--- a/internal/rules/peers.go
+++ b/internal/rules/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"time"
 )
 
@@ -52,11 +53,18 @@
 	}
 }
 
-// newestPeer returns the node with the newest version according to the membership.
+// newestPeer returns one of the nodes with the newest version according to the membership, at random: one that doesn't answer is not asked
+// again and again.
 func (r *Rules) newestPeer() hint {
-	best := hint{version: r.Revision()}
+	best, count := hint{version: r.Revision()}, 0
 	for _, entry := range r.members.All() {
-		if entry.Revision > best.version {
+		switch {
+		case entry.Revision < best.version || entry.Revision == r.Revision():
+			continue
+		case entry.Revision > best.version:
+			count = 0
+		}
+		if count++; rand.IntN(count) == 0 {
 			best = hint{version: entry.Revision, control: entry.Control}
 		}
 	}
