--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -26,13 +26,6 @@
 const Name = "holder"
 
 const (
-	// minPollWait and maxPollWait bound the time for which the platform holds a poll of the change feed. A connection that has gone silent
-	// is noticed at the end of that time, and by one node of the fleet is enough, as it passes newer versions on. The time is drawn at
-	// random with a mean of meanPollWait, and longer in large fleets, in which polls are pollsApart apart on average.
-	minPollWait  = 300 * time.Millisecond
-	meanPollWait = 900 * time.Millisecond
-	maxPollWait  = 20 * time.Second
-	pollsApart   = 100 * time.Millisecond
 	// feedInterval is the pause between polls, so that changes in quick succession are fetched together.
 	feedInterval = 250 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the mean delay after a failed poll.
@@ -46,6 +39,14 @@
 	maxHints = 4
 )
 
+// polls sets for how long the platform is asked to hold a poll of the change feed.
+var polls = pace.Polls{
+	Shortest: 300 * time.Millisecond,
+	Longest:  20 * time.Second,
+	Mean:     900 * time.Millisecond,
+	Apart:    100 * time.Millisecond,
+}
+
 // ErrCursorExpired is returned by a Feed that no longer retains the changes after the cursor.
 var ErrCursorExpired = errors.New("feed cursor is older than the retained changes")
 
@@ -219,15 +220,7 @@
 		return r.feed.Newest(ctx)
 	}
 
-	return r.feed.Next(ctx, cursor, r.pollWait())
-}
-
-// pollWait returns the time for which the platform is asked to hold the next poll.
-func (r *Rules) pollWait() time.Duration {
-	mean := pace.Interval(meanPollWait, len(r.members.All()), pollsApart)
-	longest := min(2*mean-minPollWait, maxPollWait)
-
-	return minPollWait + rand.N(longest-minPollWait)
+	return r.feed.Next(ctx, cursor, polls.Wait(len(r.members.All()), rand.Float64()))
 }
 
 // pollDelay returns the pause before the next poll. After failures it doubles up to maxRetryDelay, with jitter.
