--- a/pkg/routes/table.go
+++ b/pkg/routes/table.go
@@ -23,9 +23,6 @@
 
 // NewTable validates the routes and returns a table of them, or an error that wraps ErrInvalid.
 func NewTable(version uint64, list []Route) (*Table, error) {
-	if len(list) == 0 {
-		return nil, errors.Wrap(ErrInvalid, "no route at all")
-	}
 	t := &Table{version: version, hosts: map[string][]*Route{}, healthPaths: map[string]string{}}
 	names := map[string]string{}
 	for i := range list {
