Read the saved state of a backend server once the store is back

Cause: the row that remembers the leaving was read once, at the start; a read that failed was never made again. Change: the row is read until the store answers, without holding up routes or heartbeats, and before anything is written to it. A leaving that is read late also outweighs a heartbeat that came before it.

--- a/internal/resume/resume.go
+++ b/internal/resume/resume.go
@@ -3,14 +3,18 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/pistachiotack/pistachiotack/internal/demand"
 	"github.com/pistachiotack/pistachiotack/internal/kernel"
 	"github.com/pistachiotack/pistachiotack/internal/panics"
 	"github.com/pistachiotack/pistachiotack/internal/rules"
 	"github.com/pistachiotack/pistachiotack/internal/store"
+	"github.com/pistachiotack/pistachiotack/internal/waits"
 	"github.com/pistachiotack/pistachiotack/pkg/beat"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
 	"github.com/pistachiotack/pistachiotack/pkg/routes"
@@ -28,7 +32,7 @@
 	routesWait = time.Second
 	// routesPollInterval is the time between checks for the routes.
 	routesPollInterval = 10 * time.Millisecond
-	// retryInterval is the time between retries of a failed write of the backend server's state. Many nodes retrying faster would
+	// retryInterval is the time between retries of a failed read or write of the backend server's state. Many nodes retrying faster would
 	// overload a busy table.
 	retryInterval = time.Second
 	// demandSaveInterval is the shortest mean time between checks whether the demand estimates have changed. In the whole fleet checks
@@ -151,19 +155,20 @@
 	return nil
 }
 
-// restore loads the node's row and restores the state from it.
+// restore loads the node's row and restores the state from it. While the table is away, the routes and heartbeats are not kept waiting.
 func (r *Resume) restore(ctx context.Context) {
 	_, lost := r.table.Era()
-	var saved state
-	err := panics.Do(ctx, r.log, "load of the saved state", func(ctx context.Context) (err error) {
-		saved, err = r.load(ctx)
-
-		return err
-	})
+	saved, err := r.tryLoad(ctx)
 	r.holder.Restore(r.pastRoutes(saved))
 	if err != nil {
 		r.log.LogAttrs(ctx, slog.LevelWarn, "saved state of the backend server not loaded", slog.String("error", err.Error()))
-
+	}
+	for errors.Is(err, store.ErrUnavailable) && ctx.Err() == nil {
+		waits.Sleep(ctx, rand.N(retryInterval))
+		_, lost = r.table.Era()
+		saved, err = r.tryLoad(ctx)
+	}
+	if err != nil {
 		return
 	}
 	snapshot := saved.backend
@@ -183,6 +188,17 @@
 		slog.Time("at", snapshot.AsOf), slog.Bool("resumed", ready), slog.String("reason", reason))
 }
 
+// tryLoad loads the node's row. A panic becomes an error.
+func (r *Resume) tryLoad(ctx context.Context) (saved state, err error) {
+	err = panics.Do(ctx, r.log, "load of the saved state", func(ctx context.Context) (err error) {
+		saved, err = r.load(ctx)
+
+		return err
+	})
+
+	return saved, err
+}
+
 // pastRoutes returns what the saved state shows about the routes in force before the restart.
 func (r *Resume) pastRoutes(saved state) rules.Past {
 	return rules.Past{Revision: saved.revision, RowsLost: saved.era != nil && *saved.era != r.era()}
--- a/pkg/beat/past.go
+++ b/pkg/beat/past.go
@@ -34,7 +34,7 @@
 // process responds now. A heartbeat received since the restart takes precedence over the snapshot, and its process keeps the rate limit.
 func (s *Server) Restore(now time.Time, snapshot Snapshot, alive bool) bool {
 	if snapshot.Left {
-		s.recordDeregistration(snapshot.Heartbeat.ID, snapshot.AsOf)
+		s.restoreLeaving(snapshot)
 
 		return false
 	}
@@ -53,6 +53,14 @@
 	return true
 }
 
+// restoreLeaving applies the leaving of a process, which a late heartbeat may have made ready since the restart.
+func (s *Server) restoreLeaving(snapshot Snapshot) {
+	s.recordDeregistration(snapshot.Heartbeat.ID, snapshot.AsOf)
+	if s.state != StateAbsent && s.hasDeregistered(s.lastHeartbeat) {
+		s.state = next(s.state, eventLeave)
+	}
+}
+
 // Snapshot returns the state to keep for a restart of the node, and false if there is none.
 func (s *Server) Snapshot(now time.Time) (Snapshot, bool) {
 	if s.state == StateAbsent {
