Put the newest valid version in force where an invalid one follows it

Cause: an invalid version was published within a millisecond after a valid one. The next poll brought both; a node looked at the last one only and rejected it. A version is decoded once. Conclusion: where the store keeps only the invalid row, nobody can know the valid one; kept.

--- a/internal/rules/past.go
+++ b/internal/rules/past.go
@@ -31,14 +31,18 @@
 	r.restoredOnce.Do(func() { close(r.restored) })
 }
 
-// applyFromPlatform puts a manifest of the platform in force. If the node has none yet and may have had a newer one before its restart,
-// the manifest waits until other nodes have been asked.
-func (r *Rules) applyFromPlatform(ctx context.Context, manifest Manifest) {
-	if manifest == nil {
+// sourcePlatform is the source of versions that the platform has delivered.
+const sourcePlatform = "platform"
+
+// applyFromPlatform puts the newest of the platform's manifests in force. If the node has none yet and may have had a newer one before its
+// restart, the manifest waits until other nodes have been asked.
+func (r *Rules) applyFromPlatform(ctx context.Context, manifests []Manifest) {
+	v, valid := r.newestValid(ctx, manifests, sourcePlatform)
+	if !valid {
 		return
 	}
 	if r.Revision() > 0 {
-		r.apply(ctx, manifest, "platform")
+		r.apply(ctx, v, sourcePlatform)
 
 		return
 	}
@@ -50,24 +54,20 @@
 	case <-ctx.Done():
 		return
 	}
-	if wait := r.waitForNewer(manifest); wait > 0 {
-		r.hold(ctx, manifest, wait)
+	if wait := r.waitForNewer(v); wait > 0 {
+		r.hold(ctx, v, wait)
 
 		return
 	}
-	r.apply(ctx, manifest, "platform")
+	r.apply(ctx, v, sourcePlatform)
 }
 
-// waitForNewer returns how long to look for a newer manifest before this one is put in force.
-func (r *Rules) waitForNewer(manifest Manifest) time.Duration {
-	table, err := r.feed.Decode(manifest)
-	if err != nil {
-		return 0
-	}
+// waitForNewer returns how long to look for a newer version before this one is put in force.
+func (r *Rules) waitForNewer(v version) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
-	case table.Version() < r.past.Revision:
+	case v.table.Version() < r.past.Revision:
 		return revisionTimeout
 	case r.past.RowsLost:
 		return peersTimeout
@@ -76,8 +76,8 @@
 	}
 }
 
-// hold keeps a manifest until it is put in force by applyPending.
-func (r *Rules) hold(ctx context.Context, manifest Manifest, wait time.Duration) {
+// hold keeps a version until it is put in force by applyPending.
+func (r *Rules) hold(ctx context.Context, v version, wait time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.log.LogAttrs(ctx, slog.LevelWarn, "routes of the platform may be older than those in force before the restart",
@@ -85,10 +85,10 @@
 	if r.pending == nil {
 		r.pendingUntil = time.Now().Add(wait)
 	}
-	r.pending = manifest
+	r.pending = &v
 }
 
-// applyPending puts a manifest in force that has waited long enough, or compares it with the one in force by now.
+// applyPending puts a version in force that has waited long enough, or compares it with the one in force by now.
 func (r *Rules) applyPending(ctx context.Context) {
 	r.mu.Lock()
 	pending, due := r.pending, r.Revision() > 0 || !time.Now().Before(r.pendingUntil)
@@ -96,7 +96,7 @@
 		r.pending = nil
 	}
 	r.mu.Unlock()
-	if due {
-		r.apply(ctx, pending, "platform")
+	if due && pending != nil {
+		r.apply(ctx, *pending, sourcePlatform)
 	}
 }
--- a/internal/rules/peers.go
+++ b/internal/rules/peers.go
@@ -85,7 +85,10 @@
 
 		return
 	}
-	if len(reply.Text) > 0 {
-		r.apply(ctx, reply.Text, source.control)
+	if len(reply.Text) == 0 {
+		return
+	}
+	if v, valid := r.newestValid(ctx, []Manifest{reply.Text}, source.control); valid {
+		r.apply(ctx, v, source.control)
 	}
 }
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -57,8 +58,9 @@
 type Feed interface {
 	// Newest returns the newest manifest, nil if there is none, and the cursor after it.
 	Newest(ctx context.Context) (Manifest, eras.Version, error)
-	// Next waits for a manifest after the cursor, nil if none arrives in time. The error may wrap ErrCursorExpired.
-	Next(ctx context.Context, cursor eras.Version, wait time.Duration) (Manifest, eras.Version, error)
+	// Next waits for manifests after the cursor, and returns them oldest first, none if none arrives in time. The error may wrap
+	// ErrCursorExpired.
+	Next(ctx context.Context, cursor eras.Version, wait time.Duration) ([]Manifest, eras.Version, error)
 	// Decode returns the route table that a manifest encodes.
 	Decode(manifest Manifest) (*routes.Table, error)
 }
@@ -91,9 +93,9 @@
 	mu       sync.Mutex
 	manifest Manifest
 	past     Past
-	// pending is a manifest of the platform that may be older than what this node had in force before its restart; it is put in
+	// pending is a version of the platform that may be older than what this node had in force before its restart; it is put in
 	// force at pendingUntil unless a newer one is found.
-	pending      Manifest
+	pending      *version
 	pendingUntil time.Time
 	table        atomic.Pointer[routes.Table]
 	// startedAt is when polling began, heardAt when the platform last responded to a poll, zero if it has not yet.
@@ -192,14 +194,14 @@
 	cursor, haveCursor := eras.Version{}, false
 	failures := 0
 	for ctx.Err() == nil {
-		manifest, next, err := r.poll(ctx, cursor, haveCursor)
+		manifests, next, err := r.poll(ctx, cursor, haveCursor)
 		switch {
 		case err == nil:
 			r.logReturn(ctx, failures)
 			now := time.Now()
 			r.heardAt.Store(&now)
 			cursor, haveCursor, failures = next, true, 0
-			r.applyFromPlatform(ctx, manifest)
+			r.applyFromPlatform(ctx, manifests)
 		case errors.Is(err, ErrCursorExpired):
 			haveCursor = false
 		default:
@@ -215,9 +217,11 @@
 }
 
 // poll reads the newest manifest if there is no valid cursor, and otherwise waits for a change after it.
-func (r *Rules) poll(ctx context.Context, cursor eras.Version, haveCursor bool) (Manifest, eras.Version, error) {
+func (r *Rules) poll(ctx context.Context, cursor eras.Version, haveCursor bool) ([]Manifest, eras.Version, error) {
 	if !haveCursor {
-		return r.feed.Newest(ctx)
+		manifest, next, err := r.feed.Newest(ctx)
+
+		return []Manifest{manifest}, next, err
 	}
 
 	return r.feed.Next(ctx, cursor, polls.Wait(len(r.members.All()), rand.Float64()))
@@ -248,27 +252,40 @@
 	}
 }
 
-// apply puts the route table of a manifest in force if it is newer than the current one.
-func (r *Rules) apply(ctx context.Context, manifest Manifest, source string) {
-	if manifest == nil {
-		return
-	}
-	table, err := r.feed.Decode(manifest)
-	if err != nil {
-		r.log.LogAttrs(ctx, slog.LevelError, "invalid routes rejected", slog.String("source", source), slog.String("error", err.Error()))
+// version is a manifest with the route table that it encodes.
+type version struct {
+	manifest Manifest
+	table    *routes.Table
+}
 
-		return
+// newestValid decodes the newest of the manifests, or the one before it if that is invalid. It reports whether there is a valid one.
+func (r *Rules) newestValid(ctx context.Context, manifests []Manifest, source string) (version, bool) {
+	for _, manifest := range slices.Backward(manifests) {
+		if manifest == nil {
+			continue
+		}
+		table, err := r.feed.Decode(manifest)
+		if err == nil {
+			return version{manifest: manifest, table: table}, true
+		}
+		r.log.LogAttrs(ctx, slog.LevelError, "invalid routes rejected", slog.String("source", source), slog.String("error", err.Error()))
 	}
+
+	return version{}, false
+}
+
+// apply puts a version in force if it is newer than the current one.
+func (r *Rules) apply(ctx context.Context, v version, source string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	previous := r.Revision()
-	if table.Version() <= previous {
+	if v.table.Version() <= previous {
 		return
 	}
-	r.manifest = manifest
-	r.table.Store(table)
+	r.manifest = v.manifest
+	r.table.Store(v.table)
 	r.log.LogAttrs(ctx, slog.LevelInfo, "routes in force",
-		slog.Uint64("version", table.Version()),
+		slog.Uint64("version", v.table.Version()),
 		slog.Uint64("before", previous),
 		slog.String("source", source),
 		slog.Duration("storeSilence", r.storeSilence()),
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"strconv"
 	"testing"
 	"time"
 
@@ -37,8 +38,10 @@
 	return nil, eras.Version{}, ctx.Err()
 }
 
-func (silentFeed) Next(ctx context.Context, _ eras.Version, _ time.Duration) (rules.Manifest, eras.Version, error) {
-	return silentFeed{}.Newest(ctx)
+func (silentFeed) Next(ctx context.Context, _ eras.Version, _ time.Duration) ([]rules.Manifest, eras.Version, error) {
+	<-ctx.Done()
+
+	return nil, eras.Version{}, ctx.Err()
 }
 
 func (silentFeed) Decode(rules.Manifest) (*routes.Table, error) {
@@ -47,6 +50,32 @@
 	}})
 }
 
+// scriptedFeed is a platform with one response of several manifests, which encode their versions as numbers.
+type scriptedFeed struct {
+	manifests []rules.Manifest
+}
+
+func (scriptedFeed) Newest(context.Context) (rules.Manifest, eras.Version, error) {
+	return nil, eras.Version{}, nil
+}
+
+func (f scriptedFeed) Next(ctx context.Context, cursor eras.Version, _ time.Duration) ([]rules.Manifest, eras.Version, error) {
+	if cursor.Number > 0 {
+		return silentFeed{}.Next(ctx, cursor, 0)
+	}
+
+	return f.manifests, eras.Version{Number: 1}, nil
+}
+
+func (scriptedFeed) Decode(manifest rules.Manifest) (*routes.Table, error) {
+	number, err := strconv.ParseUint(string(manifest), 10, 64)
+	if err != nil {
+		return nil, err
+	}
+
+	return routes.NewTable(number, nil)
+}
+
 // members are nodes that have the newest version.
 type members struct {
 	idle
@@ -87,18 +116,43 @@
 	return nil
 }
 
-// One of the nodes that have the newest version may be frozen, or gone since it announced the version.
-func TestNodeThatDoesNotAnswerKeepsNobodyFromNewerRoutes(t *testing.T) {
-	t.Parallel()
+// startRules starts the service beside other nodes that have the newest version, unless they are frozen.
+func startRules(t *testing.T, feed rules.Feed, controls []string, frozen map[string]bool) *rules.Rules {
+	t.Helper()
 	k := kernel.New(slog.New(slog.DiscardHandler))
-	service := rules.New(silentFeed{}, slog.New(slog.DiscardHandler))
-	for _, s := range []kernel.Service{
-		meter.New(nil), &members{controls: []string{"frozen", "a", "b"}}, &control{frozen: map[string]bool{"frozen": true}}, service,
-	} {
+	service := rules.New(feed, slog.New(slog.DiscardHandler))
+	for _, s := range []kernel.Service{meter.New(nil), &members{controls: controls}, &control{frozen: frozen}, service} {
 		require.NoError(t, k.Register(s))
 	}
 	_, err := service.Start(t.Context(), k)
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = service.Stop(context.Background()) })
+
+	return service
+}
+
+// One of the nodes that have the newest version may be frozen, or gone since it announced the version.
+func TestNodeThatDoesNotAnswerKeepsNobodyFromNewerRoutes(t *testing.T) {
+	t.Parallel()
+	service := startRules(t, silentFeed{}, []string{"frozen", "a", "b"}, map[string]bool{"frozen": true})
 	require.Eventually(t, func() bool { return service.Revision() == newest }, 10*time.Second, 10*time.Millisecond)
 }
+
+// Both versions were published between two polls.
+func TestInvalidVersionDoesNotHideTheValidOneBeforeIt(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		manifests []rules.Manifest
+		expected  uint64
+	}{
+		"invalid one last":    {[]rules.Manifest{[]byte("2"), []byte("3"), []byte("bad")}, 3},
+		"invalid one between": {[]rules.Manifest{[]byte("2"), []byte("bad"), []byte("4")}, 4},
+		"only valid ones":     {[]rules.Manifest{[]byte("2"), []byte("3")}, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			service := startRules(t, scriptedFeed{test.manifests}, nil, nil)
+			require.Eventually(t, func() bool { return service.Revision() == test.expected }, 10*time.Second, 10*time.Millisecond)
+		})
+	}
+}
