Take no heartbeat that lacks what its server states elsewhere

Cause: a missing start was read as a start long ago, so the heartbeat seemed to come from another process, which replaces one that has been silent for three intervals, also if it is silent because it has left.

--- a/pkg/beat/beat_test.go
+++ b/pkg/beat/beat_test.go
@@ -81,6 +81,31 @@
 	}
 }
 
+// A heartbeat of another writer names the server, but not the start of its process.
+func TestHeartbeatWithoutAStartDoesNotBringBackAServerThatLeft(t *testing.T) {
+	unstarted := heartbeat("i-1", 100, 9)
+	unstarted.StartedAt = time.Time{}
+	for name, leave := range map[string]func(s *beat.Server, now time.Time){
+		"deregistered": func(s *beat.Server, now time.Time) { require.True(t, s.Deregister(now, "i-1")) },
+		"draining": func(s *beat.Server, now time.Time) {
+			draining := heartbeat("i-1", 100, 2)
+			draining.Draining = true
+			require.Equal(t, beat.VerdictAccepted, s.HandleHeartbeat(now, draining))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := beat.NewServer(options)
+			now := time.Now()
+			require.Equal(t, beat.VerdictAccepted, s.HandleHeartbeat(now, heartbeat("i-1", 100, 1)))
+			leave(s, now)
+			require.Equal(t, beat.VerdictIncomplete, s.HandleHeartbeat(now.Add(10*interval), unstarted))
+			require.Equal(t, beat.StateDraining, s.State())
+		})
+	}
+	s := beat.NewServer(options)
+	require.Equal(t, beat.VerdictAccepted, s.HandleHeartbeat(time.Now(), unstarted), "a server that never states its start")
+}
+
 func TestDeregisterIgnoresOtherProcesses(t *testing.T) {
 	now := time.Now()
 	server := beat.NewServer(options)
--- a/pkg/beat/report.go
+++ b/pkg/beat/report.go
@@ -11,7 +11,8 @@
 	Service string
 	// Address is the address at which the sender says that it listens.
 	Address string
-	// StartedAt is the start of the sender's process by its own clock; a restart under the same ID has another value.
+	// StartedAt is the start of the sender's process by its own clock, zero if it states none; a restart under the same ID has another
+	// value.
 	StartedAt time.Time
 	// Sequence orders the heartbeats of one process.
 	Sequence uint64
@@ -38,6 +39,8 @@
 	VerdictOutOfOrder Verdict = "late"
 	// VerdictSuperseded means that the heartbeat came from a process that has ended or that another one has replaced.
 	VerdictSuperseded Verdict = "former"
+	// VerdictIncomplete means that the heartbeat lacks the start of the process, which this server has stated before.
+	VerdictIncomplete Verdict = "incomplete"
 	// VerdictWrongServer means that the heartbeat came from a server of another service or at another address.
 	VerdictWrongServer Verdict = "foreign"
 )
--- a/pkg/beat/server.go
+++ b/pkg/beat/server.go
@@ -69,6 +69,9 @@
 	if heartbeat.Service != s.options.Service || heartbeat.Address != s.options.Address {
 		return VerdictWrongServer
 	}
+	if heartbeat.StartedAt.IsZero() && heartbeat.ID == s.lastHeartbeat.ID && !s.lastHeartbeat.StartedAt.IsZero() {
+		return VerdictIncomplete
+	}
 	if s.ended[processOf(heartbeat)] || s.hasDeregistered(heartbeat) {
 		return VerdictSuperseded
 	}
