End a node process though nobody reads its standard error

A process that ended with an error printed it, and waited for the reader of a full pipe until it was killed. Evidence: TestNodeThatCannotStartEndsThoughNobodyReadsItsOutput failed after 10 s. Change: the error that ends a node process is logged, through the bounded buffer, and not printed besides.

--- a/internal/cmds/cmds.go
+++ b/internal/cmds/cmds.go
@@ -89,7 +89,9 @@
 	if err == nil {
 		return ExitOK
 	}
-	fmt.Fprintf(env.Err, "pistachiotack: %v\n", err)
+	if !errors.Is(err, errLogged) {
+		fmt.Fprintf(env.Err, "pistachiotack: %v\n", err)
+	}
 	var file *config.FileError
 	var problems tree.Problems
 	if errors.As(err, &file) || errors.As(err, &problems) || errors.Is(err, fs.ErrNotExist) || errors.Is(err, ErrNoBase) {
--- a/internal/cmds/cmds_test.go
+++ b/internal/cmds/cmds_test.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"testing"
 	"testing/fstest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -20,6 +21,31 @@
 	return code, stdout.String(), stderr.String()
 }
 
+// blocked takes nothing, as a pipe that nobody reads.
+type blocked struct{}
+
+func (blocked) Write([]byte) (int, error) {
+	select {}
+}
+
+func TestNodeThatCannotStartEndsThoughNobodyReadsItsOutput(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "node.toml")
+	// the address belongs to no interface
+	settings := "name = \"a\"\ndataCentre = \"hal-a\"\n[listen]\ncontrol = \"192.0.2.1:1\"\n"
+	require.NoError(t, os.WriteFile(file, []byte(settings), 0o600))
+	code := make(chan int, 1)
+	go func() {
+		env := cmds.Env{Context: t.Context(), Out: blocked{}, Err: blocked{}, Examples: fstest.MapFS{}}
+		code <- cmds.Run(env, []string{"node", "--settings", file})
+	}()
+	select {
+	case got := <-code:
+		require.Equal(t, cmds.ExitFailure, got)
+	case <-time.After(10 * time.Second):
+		require.Fail(t, "waits for the reader of its output")
+	}
+}
+
 func TestExitCodes(t *testing.T) {
 	directory := t.TempDir()
 	bad := filepath.Join(directory, "bad.toml")
--- a/internal/cmds/node.go
+++ b/internal/cmds/node.go
@@ -35,11 +35,11 @@
 	tune.Apply(tune.Node(settings.Processors))
 	started, err := node.Start(env.Context, settings, snapshot, node.Logs{Log: log.Logger, Decisions: log.lines})
 	if err != nil {
-		return err
+		return log.fail(err)
 	}
 	err = started.Wait(env.Context)
 
-	return errors.CombineErrors(err, started.Stop())
+	return log.fail(errors.CombineErrors(err, started.Stop()))
 }
 
 // loadTree reads the tree that serves until a revision is accepted.
--- a/internal/cmds/proclog.go
+++ b/internal/cmds/proclog.go
@@ -33,3 +33,17 @@
 
 	return processLog{Logger: log, lines: lines}, closeLines, nil
 }
+
+// errLogged marks errors that the log has.
+var errLogged = errors.New("logged")
+
+// fail logs the error that ends the process, nil for none, and returns it for the exit code. Nothing is printed besides: the process would wait
+// for whoever reads that.
+func (l processLog) fail(err error) error {
+	if err == nil {
+		return nil
+	}
+	l.Error("node failed", slog.String("error", err.Error()))
+
+	return errors.Mark(err, errLogged)
+}
--- a/internal/cmds/side.go
+++ b/internal/cmds/side.go
@@ -1,8 +1,6 @@
 package cmds
 
 import (
-	"log/slog"
-
 	"github.com/pistachiotack/pistachiotack/internal/tune"
 	adapt "github.com/pistachiotack/pistachiotack/platform"
 )
@@ -25,11 +23,6 @@
 	}
 	defer closeLog()
 	tune.Apply(tune.Sidecar(settings.MemoryBytes))
-	if err := adapt.Run(env.Context, settings, log.Logger, log.lines); err != nil {
-		log.Error("node failed", slog.String("error", err.Error()))
-
-		return err
-	}
 
-	return nil
+	return log.fail(adapt.Run(env.Context, settings, log.Logger, log.lines))
 }
