Restore a leaving for the process that left only

Cause: found on reading the diff. A leaving that is read late was applied to any process under the same ID that seems to have started before it; clocks of servers and nodes differ. Change: where the start of the process that left is known, only that process leaves.

--- a/pkg/beat/beat_test.go
+++ b/pkg/beat/beat_test.go
@@ -189,6 +189,16 @@
 			require.Equal(t, beat.VerdictSuperseded, after.HandleHeartbeat(now, heartbeat("i-1", 100, 9)))
 			require.Equal(t, beat.StateAbsent, after.State())
 			require.Equal(t, beat.VerdictAccepted, after.HandleHeartbeat(now, heartbeat("i-2", 200, 1)))
+
+			late := beat.NewServer(options)
+			require.Equal(t, beat.VerdictAccepted, late.HandleHeartbeat(now, heartbeat("i-1", 100, 9)), "nothing is known of the leaving yet")
+			require.False(t, late.Restore(now, snapshot, true))
+			require.Equal(t, beat.StateDraining, late.State())
+
+			replaced := beat.NewServer(options)
+			require.Equal(t, beat.VerdictAccepted, replaced.HandleHeartbeat(now, heartbeat("i-1", now.Add(time.Minute).UnixMilli(), 1)))
+			require.False(t, replaced.Restore(now, snapshot, true))
+			require.Equal(t, beat.StateReady, replaced.State(), "another process under the same ID")
 		})
 	}
 }
--- a/pkg/beat/past.go
+++ b/pkg/beat/past.go
@@ -56,7 +56,11 @@
 // restoreLeaving applies the leaving of a process, which a late heartbeat may have made ready since the restart.
 func (s *Server) restoreLeaving(snapshot Snapshot) {
 	s.recordDeregistration(snapshot.Heartbeat.ID, snapshot.AsOf)
-	if s.state != StateAbsent && s.hasDeregistered(s.lastHeartbeat) {
+	same := processOf(snapshot.Heartbeat) == processOf(s.lastHeartbeat)
+	if snapshot.Heartbeat.StartedAt.IsZero() {
+		same = s.hasDeregistered(s.lastHeartbeat)
+	}
+	if s.state != StateAbsent && same {
 		s.state = next(s.state, eventLeave)
 	}
 }
