Leave the services of a node as much time to stop as before

The fix of planned stops let a node wait for running requests until 0.88 of the grace period instead of 0.83, and end at 0.92 as before: 40 ms of a grace period of 1 s were left for the services instead of 90. Change: the node waits until 0.84, in the last sixth of the grace period, and has ended at 0.93; 90 ms again.

--- a/internal/routed/node.go
+++ b/internal/routed/node.go
@@ -179,8 +179,8 @@
 	minIdleTime = 300 * time.Millisecond
 	// Shares of the grace period after which the node refuses new requests, stops waiting for those in progress, and has ended.
 	refuseShare  = 0.75
-	abandonShare = 0.88
-	stopShare    = 0.92
+	abandonShare = 0.84
+	stopShare    = 0.93
 	// answerMargin is the time allowed for a response after its deadline.
 	answerMargin = 100 * time.Millisecond
 	// drainInterval is the time between checks for requests in progress, and the time allowed for the last responses to be written.
