Wait in a planned stop for responses that are still being sent

What callers saw: a client that read a large response slowly lost its rest in a planned stop: the node ended 3.8 s after the signal, though its grace period of 6 s had not passed. Cause: the stop waited for handlers. A handler ends when the response begins to be written; the listener then gave the writing one more second. Change: a request is active until its response has been sent as a whole, at the entry node and beside the backend server.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -130,7 +130,6 @@
 	server          *listen.Server
 	picker          *picker
 	splitter        *routes.Splitter
-	active          atomic.Int64
 	refusing        atomic.Bool
 	ending          atomic.Pointer[ending]
 
@@ -251,7 +250,7 @@
 	return end != nil && now.After(end.from) && deadline.After(end.until)
 }
 
-// Active returns the number of requests that have no response yet.
+// Active returns the number of requests whose responses have not been sent as a whole.
 func (f *Front) Active() int64 {
-	return f.active.Load()
+	return f.server.OpenRequests()
 }
--- a/internal/front/handle.go
+++ b/internal/front/handle.go
@@ -73,8 +73,6 @@
 }
 
 func (f *Front) handle(c context.Context, ctx *app.RequestContext) {
-	f.active.Add(1)
-	defer f.active.Add(-1)
 	r := &request{front: f, http: ctx, id: f.options.Dialect.RequestID(&ctx.Request.Header), arrivedAt: listen.ArrivedAt(ctx)}
 	if refusal := r.classify(); refusal != nil {
 		r.refuse(refusal)
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -212,9 +212,10 @@
 	g.announce(member.StateDraining)
 }
 
-// Active returns the number of calls in the queue or running.
+// Active returns the number of calls in the queue or running, or of calls of other nodes whose responses have not been sent as a whole if
+// there are more of these.
 func (g *Guard) Active() int64 {
-	return g.active.Load()
+	return max(g.active.Load(), g.server.OpenRequests())
 }
 
 // Load returns the load of the backend server relative to its slots or its rate limit, whichever binds, 0 without a backend server.
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -179,6 +179,11 @@
 	return nil
 }
 
+// OpenRequests returns the number of requests that have been read and whose responses have not been sent.
+func (s *Server) OpenRequests() int64 {
+	return s.openRequests.Load()
+}
+
 func (s *Server) waitForResponses(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, sendTimeout)
 	defer cancel()
