Answer the requests that outlast a planned stop

What callers saw: a request that was still running at the end of a planned stop had its connection closed without a response, as had a finished response behind it on the same connection, whose request may not have been sent again. Cause: the end of the grace period ended the process, not the requests: nothing told their handlers to give up. A call that must not be repeated could not be given up at all, as its context was cut off from its caller's. Change: when a node stops waiting, in the last sixth of its grace period, the contexts of all handlers and calls end.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -250,6 +250,11 @@
 	return end != nil && now.After(end.from) && deadline.After(end.until)
 }
 
+// GiveUp ends the attempts of all requests, which get their final responses at once.
+func (f *Front) GiveUp() {
+	f.server.GiveUp()
+}
+
 // Active returns the number of requests whose responses have not been sent as a whole.
 func (f *Front) Active() int64 {
 	return f.server.OpenRequests()
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -104,6 +104,9 @@
 	server    *listen.Server
 	active    atomic.Int64
 	draining  atomic.Bool
+	// patience is the context of calls that their callers can't cancel; giveUp ends it.
+	patience context.Context
+	giveUp   context.CancelFunc
 	// suspectTurn holds a value while a request runs that was running when a backend server crashed.
 	suspectTurn chan struct{}
 	// services is the number of services in the fleet.
@@ -165,6 +168,7 @@
 		return nil, err
 	}
 	g.announcer.SetPeers(g.server.Address())
+	g.patience, g.giveUp = context.WithCancel(context.WithoutCancel(ctx))
 	ctx, g.cancel = context.WithCancel(ctx)
 	go g.run(ctx)
 
@@ -192,6 +196,7 @@
 // Stop closes the listener and the connections to the backend server.
 func (g *Guard) Stop(ctx context.Context) error {
 	defer g.close()
+	defer g.giveUp()
 	g.cancel()
 	<-g.stopped
 
@@ -212,6 +217,12 @@
 	g.announce(member.StateDraining)
 }
 
+// GiveUp ends all calls, also those that must not be cancelled by their callers. Their outcome is unknown if they run.
+func (g *Guard) GiveUp() {
+	g.server.GiveUp()
+	g.giveUp()
+}
+
 // Active returns the number of calls in the queue or running, or of calls of other nodes whose responses have not been sent as a whole if
 // there are more of these.
 func (g *Guard) Active() int64 {
--- a/internal/guard/run.go
+++ b/internal/guard/run.go
@@ -75,7 +75,7 @@
 		return refused(call.ReasonQuarantined)
 	}
 	if x.hop.Once {
-		c = context.WithoutCancel(c)
+		c = x.guard.patience
 	}
 	x.origin = x.guard.demand.CountExecution(x.hop, int(x.guard.services.Load()))
 
--- a/internal/routed/node.go
+++ b/internal/routed/node.go
@@ -177,7 +177,7 @@
 	maxDeregistrationShare = 0.6
 	// minIdleTime is how long no request must have been in progress before the node refuses new ones.
 	minIdleTime = 300 * time.Millisecond
-	// Shares of the grace period after which the node refuses new requests, stops waiting for those in progress, and has ended.
+	// Shares of the grace period after which the node refuses new requests, gives up those in progress, and has ended.
 	refuseShare  = 0.75
 	abandonShare = 0.84
 	stopShare    = 0.93
@@ -206,6 +206,8 @@
 	n.waitIdle(n.graceDeadline(stopStartedAt, abandonShare), func(idle time.Duration) bool { return idle >= drainInterval })
 	n.log.LogAttrs(ctx, slog.LevelInfo, "node stops", slog.Duration("after", time.Since(stopStartedAt)),
 		slog.Int64("requests", n.front.Active()), slog.Int64("executions", n.guard.Active()))
+	n.front.GiveUp()
+	n.guard.GiveUp()
 	stopCtx, cancel := context.WithDeadline(context.WithoutCancel(ctx), n.graceDeadline(stopStartedAt, stopShare))
 	defer cancel()
 
