Refuse calls to a backend server that may outlast its node

What callers saw: in a planned stop of the last node of a service, calls that it took from other nodes up to half of a grace period of 10 s were cut at its end; their callers got 502, also for requests that must not be repeated. Cause: only the node at which a request begins compared its deadline with the end of the node. The one that runs it has an end of its own, and the last one of a service takes calls for longer. Evidence: TestCallsTakenByTheLastNodeOfAServiceInAPlannedStopAreAnswered failed on: a call sent 4.50 s after the signal got 502. Change: the comparison is leave.End, which both ask; such a call is refused as not run, and its entry node tries another one.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -18,6 +18,7 @@
 	"github.com/pistachiotack/pistachiotack/internal/trace"
 	"github.com/pistachiotack/pistachiotack/internal/wire"
 	"github.com/pistachiotack/pistachiotack/pkg/fanout"
+	"github.com/pistachiotack/pistachiotack/pkg/leave"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
 	"github.com/pistachiotack/pistachiotack/pkg/quota"
 	"github.com/pistachiotack/pistachiotack/pkg/routes"
@@ -131,7 +132,7 @@
 	picker          *picker
 	splitter        *routes.Splitter
 	refusing        atomic.Bool
-	ending          atomic.Pointer[ending]
+	end             atomic.Pointer[leave.End]
 
 	mu        sync.Mutex
 	quota     *quota.Quota
@@ -144,7 +145,7 @@
 func New(options Options) *Front {
 	client, closeClient := relay.NewClient(peerIdleTimeout)
 
-	return &Front{
+	f := &Front{
 		options:   options,
 		client:    client,
 		buffers:   budget.New(maxBuffered),
@@ -156,6 +157,9 @@
 		latencies: newMeanLatencies(),
 		unread:    shed.NewUnread(maxUnread),
 	}
+	f.RefuseLate(leave.End{})
+
+	return f
 }
 
 // String returns the name of the service.
@@ -233,21 +237,9 @@
 	f.refusing.Store(true)
 }
 
-// ending says until when a node that is being stopped answers requests.
-type ending struct {
-	from, until time.Time
-}
-
-// RefuseLate refuses requests that come from the given time on and may last beyond the other one, at which the node stops waiting.
-func (f *Front) RefuseLate(from, until time.Time) {
-	f.ending.Store(&ending{from: from, until: until})
-}
-
-// tooLate reports whether the node may end before a request with the deadline does.
-func (f *Front) tooLate(now, deadline time.Time) bool {
-	end := f.ending.Load()
-
-	return end != nil && now.After(end.from) && deadline.After(end.until)
+// RefuseLate refuses requests that the end of the node excludes.
+func (f *Front) RefuseLate(end leave.End) {
+	f.end.Store(&end)
 }
 
 // GiveUp ends the attempts of all requests, which get their final responses at once.
--- a/internal/front/handle.go
+++ b/internal/front/handle.go
@@ -120,7 +120,7 @@
 	if remaining <= 0 {
 		return call.NewRefusal(call.OutcomeNotRun, call.ReasonDeadline)
 	}
-	if r.front.tooLate(time.Now(), r.deadline) {
+	if r.front.end.Load().Excludes(time.Now(), r.deadline) {
 		return call.NewRefusal(call.OutcomeNotRun, call.ReasonDraining).WithRetryAfter(notReadyRetryAfter)
 	}
 	r.origin = r.front.demand.CountRequest(r.route.Name, r.service)
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -20,6 +20,7 @@
 	"github.com/pistachiotack/pistachiotack/pkg/beat"
 	"github.com/pistachiotack/pistachiotack/pkg/fanout"
 	"github.com/pistachiotack/pistachiotack/pkg/fatal"
+	"github.com/pistachiotack/pistachiotack/pkg/leave"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
 	"github.com/pistachiotack/pistachiotack/pkg/queue"
 )
@@ -104,6 +105,7 @@
 	server    *listen.Server
 	active    atomic.Int64
 	draining  atomic.Bool
+	end       atomic.Pointer[leave.End]
 	// patience is the context of calls that their callers can't cancel; giveUp ends it.
 	patience context.Context
 	giveUp   context.CancelFunc
@@ -138,7 +140,7 @@
 	nextStart := time.NewTimer(tickInterval)
 	nextStart.Stop()
 
-	return &Guard{
+	g := &Guard{
 		options:     options,
 		client:      client,
 		buffers:     budget.New(maxBuffered),
@@ -151,6 +153,9 @@
 		nextStart:   nextStart,
 		changed:     make(chan struct{}, 1),
 	}
+	g.RefuseLate(leave.End{})
+
+	return g
 }
 
 // String returns the name of the service.
@@ -217,6 +222,11 @@
 	g.announce(member.StateDraining)
 }
 
+// RefuseLate refuses calls that the end of the node excludes.
+func (g *Guard) RefuseLate(end leave.End) {
+	g.end.Store(&end)
+}
+
 // GiveUp ends all calls, also those that must not be cancelled by their callers. Their outcome is unknown if they run.
 func (g *Guard) GiveUp() {
 	g.server.GiveUp()
--- a/internal/guard/run.go
+++ b/internal/guard/run.go
@@ -59,6 +59,9 @@
 		return refused(reason)
 	}
 	deadline := x.startedAt.Add(x.hop.Remaining)
+	if x.guard.end.Load().Excludes(x.startedAt, deadline) {
+		return refused(reasonDraining)
+	}
 	endTurn, reason := x.waitForTurn(c, deadline)
 	if reason != "" {
 		return refused(reason)
--- a/internal/routed/node.go
+++ b/internal/routed/node.go
@@ -194,7 +194,9 @@
 	n.front.DisableKeepAlives()
 	n.gossip.SetLeaving()
 	deregistration := min(deregistrationDelay, n.graceDeadline(stopStartedAt, maxDeregistrationShare).Sub(stopStartedAt))
-	n.front.RefuseLate(stopStartedAt.Add(deregistration), n.graceDeadline(stopStartedAt, abandonShare).Add(-answerMargin))
+	end := leave.NewEnd(stopStartedAt.Add(deregistration), n.graceDeadline(stopStartedAt, abandonShare).Add(-answerMargin))
+	n.front.RefuseLate(end)
+	n.guard.RefuseLate(end)
 	n.log.LogAttrs(ctx, slog.LevelInfo, "node leaves",
 		slog.Int64("requests", n.front.Active()), slog.Int64("executions", n.guard.Active()))
 	n.waitForTurn(ctx, stopStartedAt)
