Begin no second attempt that may outlast a node that is being stopped

What callers saw: in a planned stop a request whose first attempt was refused late by its backend server was answered 502, as if it might have run for good; 503 would have told the caller to come back. Cause: the end of the node was compared when the request came, not when a further attempt began. Evidence: TestNoSecondAttemptBeginsThatMayOutlastTheNode failed before the change: 502 instead of 503. Change: once the node refuses new requests, a further attempt is held to the same comparison as these.

--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -63,7 +63,11 @@
 
 // shouldRetry decides whether to retry a failed attempt.
 func (r *request) shouldRetry(c context.Context, failure *call.Refusal) bool {
-	if c.Err() != nil || r.attempt >= maxNodesTried || !time.Now().Before(r.deadline) {
+	now := time.Now()
+	if c.Err() != nil || r.attempt >= maxNodesTried || !now.Before(r.deadline) {
+		return false
+	}
+	if r.front.refusing.Load() && r.front.end.Load().Excludes(now, r.deadline) {
 		return false
 	}
 	if failure.Outcome == call.OutcomeNotRun && failure.Reason != call.ReasonBackendShed {
