Confirm a server by a status check before a heartbeat makes it ready after a restart

What callers saw: a backend server whose leaving had been acknowledged got work again: its node was killed, the store turned the restarted one away, and a heartbeat that the server had sent before it left came late. Cause: between its start and its first successful read of its row a node knows nothing, and believed the first heartbeat that came. A row may also be older than the leaving (the store was away when the server left), and a heartbeat of another lifetime under the ID of a server that has left was believed after three silent intervals, or at once with a start in the future. Change: a process that may have left is a candidate. It gets work once a status check with its ID shows that it is well, or once four heartbeats have come over 2.5 intervals, each newer than the one before. A check that finds no room is repeated. The candidate makes the node join gossip at once, as the routes, with the path of the check, may come from other nodes only.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -26,7 +26,7 @@
 	maxCalls = 32
 	// propagationRounds is the number of gossip rounds that a leaving node waits before it stops.
 	propagationRounds = 3
-	// announceDelay is how long a starting node stays out of gossip unless it serves earlier, so that its entry does not replace
+	// announceDelay is how long a starting node stays out of gossip unless its backend server is heard earlier, so that its entry does not replace
 	// that of a serving incarnation of the same node.
 	announceDelay = time.Second
 )
@@ -209,12 +209,17 @@
 func (g *Gossip) SetState(state member.State) error {
 	err := g.update(func(now time.Time) error { return g.fleet.SetState(now, state) })
 	if err == nil && state == member.StateServing {
-		g.launchOnce.Do(g.launch)
+		g.Join()
 	}
 
 	return err
 }
 
+// Join starts gossip at once, as the backend server beside this process has been heard.
+func (g *Gossip) Join() {
+	g.launchOnce.Do(g.launch)
+}
+
 // SetLeaving announces that a planned stop of the node has begun.
 func (g *Gossip) SetLeaving() {
 	_ = g.update(func(now time.Time) error {
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -23,6 +23,7 @@
 	"github.com/pistachiotack/pistachiotack/pkg/leave"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
 	"github.com/pistachiotack/pistachiotack/pkg/queue"
+	"github.com/pistachiotack/pistachiotack/pkg/routes"
 )
 
 // Name is the name of the kernel service.
@@ -41,6 +42,8 @@
 type Announcer interface {
 	SetPeers(address string)
 	SetState(state member.State) error
+	// Join makes the node known to the fleet at once, whatever its state.
+	Join()
 	All() []member.Entry
 }
 
@@ -56,8 +59,10 @@
 	CompleteReport(now time.Time, route string, report wire.Report) wire.Report
 }
 
-// Holder returns the revision of the routes in force.
+// Holder holds the routes in force.
 type Holder interface {
+	// Table returns nil until the routes have been loaded.
+	Table() *routes.Table
 	Revision() uint64
 }
 
@@ -115,6 +120,9 @@
 	services atomic.Int64
 	cancel   context.CancelFunc
 	stopped  chan struct{}
+	// unconfirmed receives a value when the backend server has a candidate, and confirmEnded is closed when none is confirmed any more.
+	unconfirmed  chan struct{}
+	confirmEnded chan struct{}
 
 	mu          sync.Mutex
 	backend     *beat.Server
@@ -147,11 +155,15 @@
 		close:       closeClient,
 		stopped:     make(chan struct{}),
 		suspectTurn: make(chan struct{}, 1),
-		backend:     beat.NewServer(beat.Options{Service: options.Service, Address: options.Backend, Interval: options.Interval}),
-		queue:       queue.New(queueLimits(0, false)),
-		announced:   member.StateStarting,
-		nextStart:   nextStart,
-		changed:     make(chan struct{}, 1),
+		backend: beat.NewServer(beat.Options{
+			Service: options.Service, Address: options.Backend, Interval: options.Interval, ConfirmFirst: true,
+		}),
+		unconfirmed:  make(chan struct{}, 1),
+		confirmEnded: make(chan struct{}),
+		queue:        queue.New(queueLimits(0, false)),
+		announced:    member.StateStarting,
+		nextStart:    nextStart,
+		changed:      make(chan struct{}, 1),
 	}
 	g.RefuseLate(leave.End{})
 
@@ -176,6 +188,7 @@
 	g.patience, g.giveUp = context.WithCancel(context.WithoutCancel(ctx))
 	ctx, g.cancel = context.WithCancel(ctx)
 	go g.run(ctx)
+	go g.confirmCandidates(ctx)
 
 	return g.server.Done(), nil
 }
@@ -204,6 +217,7 @@
 	defer g.giveUp()
 	g.cancel()
 	<-g.stopped
+	<-g.confirmEnded
 
 	return g.server.Close(ctx)
 }
@@ -254,19 +268,33 @@
 	defer g.mu.Unlock()
 	before := g.backend.LastHeartbeat()
 	verdict := g.backend.HandleHeartbeat(now, heartbeat)
-	if verdict == beat.VerdictAccepted && (before.ID != heartbeat.ID || !before.StartedAt.Equal(heartbeat.StartedAt)) {
-		g.options.Log.Info("backend server found", slog.String("process", heartbeat.String()), slog.Int("slots", heartbeat.Slots))
-		g.client.CloseConnections(g.options.Backend)
-		g.failedDials = 0
-		if before.ID == "" {
-			g.limitUnknownUntil = now.Add(limitUnknownTime)
-		}
+	switch verdict {
+	case beat.VerdictAccepted:
+		g.handleNewProcess(now, before)
+	case beat.VerdictUnconfirmed:
+		g.announcer.Join()
+		g.requestConfirmation()
 	}
 	g.applyState(now)
 
 	return verdict
 }
 
+// handleNewProcess drops the connections to the previous process if another one than that of the heartbeat has become the current one. The
+// caller holds the lock.
+func (g *Guard) handleNewProcess(now time.Time, before beat.Heartbeat) {
+	heartbeat := g.backend.LastHeartbeat()
+	if before.ID == heartbeat.ID && before.StartedAt.Equal(heartbeat.StartedAt) {
+		return
+	}
+	g.options.Log.Info("backend server found", slog.String("process", heartbeat.String()), slog.Int("slots", heartbeat.Slots))
+	g.client.CloseConnections(g.options.Backend)
+	g.failedDials = 0
+	if before.ID == "" {
+		g.limitUnknownUntil = now.Add(limitUnknownTime)
+	}
+}
+
 // Deregister processes the deregistration of a backend server, and reports whether it was the current one.
 func (g *Guard) Deregister(now time.Time, id string) bool {
 	g.mu.Lock()
--- a/internal/resume/resume.go
+++ b/internal/resume/resume.go
@@ -17,7 +17,6 @@
 	"github.com/pistachiotack/pistachiotack/internal/waits"
 	"github.com/pistachiotack/pistachiotack/pkg/beat"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
-	"github.com/pistachiotack/pistachiotack/pkg/routes"
 )
 
 // Name is the name of the kernel service.
@@ -26,12 +25,6 @@
 const (
 	// prefix is the prefix of the row keys; there is one row per node.
 	prefix = "backends/"
-	// probeTimeout limits the status check of the backend server, which is on the same VM and idle after a restart.
-	probeTimeout = 500 * time.Millisecond
-	// routesWait is how long the start waits for the routes, which contain the path for status checks.
-	routesWait = time.Second
-	// routesPollInterval is the time between checks for the routes.
-	routesPollInterval = 10 * time.Millisecond
 	// retryInterval is the time between retries of a failed read or write of the backend server's state. Many nodes retrying faster would
 	// overload a busy table.
 	retryInterval = time.Second
@@ -57,8 +50,8 @@
 	Snapshot(now time.Time) (beat.Snapshot, bool)
 	// Restore applies a snapshot from before the restart, and reports whether the backend server is ready as a result.
 	Restore(now time.Time, past beat.Snapshot, alive bool) bool
-	// Probe sends a status check to the path and returns what the process that responded states.
-	Probe(ctx context.Context, path string) (beat.Health, error)
+	// Check sends a status check and returns what the process that responded states.
+	Check(ctx context.Context) (beat.Health, error)
 	// Changed receives a value when the snapshot has changed without a heartbeat.
 	Changed() <-chan struct{}
 }
@@ -73,8 +66,6 @@
 
 // Holder holds the routes in force.
 type Holder interface {
-	// Table returns nil until the routes have been loaded.
-	Table() *routes.Table
 	// Revision returns the version of the routes in force, zero for none.
 	Revision() uint64
 	// Restore sets what is known of the routes that were in force before the restart.
@@ -233,13 +224,7 @@
 // checkAlive reports whether the process of the snapshot still responds to a status check, with the reason. The snapshot that it returns
 // has the rate limit of the response, if there is one.
 func (r *Resume) checkAlive(ctx context.Context, snapshot beat.Snapshot) (checked beat.Snapshot, alive bool, reason string) {
-	path := r.healthPath(ctx)
-	if path == "" {
-		return snapshot, false, "no path for status checks"
-	}
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	found, err := r.guard.Probe(ctx, path)
+	found, err := r.guard.Check(ctx)
 	switch {
 	case err != nil:
 		return snapshot, false, err.Error()
@@ -252,21 +237,3 @@
 
 	return snapshot, true, "answers"
 }
-
-// healthPath waits for the routes and returns the path for status checks, empty if there is none within routesWait.
-func (r *Resume) healthPath(ctx context.Context) string {
-	ctx, cancel := context.WithTimeout(ctx, routesWait)
-	defer cancel()
-	ticker := time.NewTicker(routesPollInterval)
-	defer ticker.Stop()
-	for {
-		if table := r.holder.Table(); table != nil {
-			return table.HealthPath(r.service)
-		}
-		select {
-		case <-ctx.Done():
-			return ""
-		case <-ticker.C:
-		}
-	}
-}
--- a/internal/resume/resume_test.go
+++ b/internal/resume/resume_test.go
@@ -139,7 +139,7 @@
 	return g.server.Restore(now, snapshot, alive)
 }
 
-func (g *fakeGuard) Probe(context.Context, string) (beat.Health, error) {
+func (g *fakeGuard) Check(context.Context) (beat.Health, error) {
 	if g.responder == "" {
 		return beat.Health{}, errUnavailable
 	}
--- a/pkg/beat/past.go
+++ b/pkg/beat/past.go
@@ -45,7 +45,7 @@
 
 		return false
 	}
-	if !alive || s.HandleHeartbeat(now, snapshot.Heartbeat) != VerdictAccepted {
+	if !alive || !s.accepts(now, snapshot.Heartbeat) {
 		return false
 	}
 	s.rateLimit = snapshot.RateLimit
@@ -53,9 +53,17 @@
 	return true
 }
 
+// accepts processes the heartbeat of a process that has passed a status check.
+func (s *Server) accepts(now time.Time, heartbeat Heartbeat) bool {
+	verdict := s.HandleHeartbeat(now, heartbeat)
+
+	return verdict == VerdictAccepted || verdict == VerdictUnconfirmed && s.Confirm(now, heartbeat.ID)
+}
+
 // restoreLeaving applies the leaving of a process, which a late heartbeat may have made ready since the restart.
 func (s *Server) restoreLeaving(snapshot Snapshot) {
 	s.recordDeregistration(snapshot.Heartbeat.ID, snapshot.AsOf)
+	s.dropCandidate(snapshot.Heartbeat.ID)
 	same := processOf(snapshot.Heartbeat) == processOf(s.lastHeartbeat)
 	if snapshot.Heartbeat.StartedAt.IsZero() {
 		same = s.hasDeregistered(s.lastHeartbeat)
--- a/pkg/beat/report.go
+++ b/pkg/beat/report.go
@@ -41,6 +41,9 @@
 	VerdictSuperseded Verdict = "former"
 	// VerdictIncomplete means that the heartbeat lacks the start of the process, which this server has stated before.
 	VerdictIncomplete Verdict = "incomplete"
+	// VerdictUnconfirmed means that the process of the heartbeat may have left before its node was started, or that one with the same ID has
+	// left.
+	VerdictUnconfirmed Verdict = "unconfirmed"
 	// VerdictWrongServer means that the heartbeat came from a server of another service or at another address.
 	VerdictWrongServer Verdict = "foreign"
 )
--- a/pkg/beat/server.go
+++ b/pkg/beat/server.go
@@ -20,6 +20,8 @@
 	Address string
 	// Interval is the time between two heartbeats.
 	Interval time.Duration
+	// ConfirmFirst makes the first process since the start of the node wait for a confirmation: it may have left before.
+	ConfirmFirst bool
 }
 
 // Server is the state of the local backend server. It is not safe for concurrent use.
@@ -32,6 +34,7 @@
 	ended map[process]bool
 	// deregisteredAt maps the IDs of servers that deregistered without a known heartbeat to the time of the deregistration.
 	deregisteredAt map[string]time.Time
+	candidate      candidate
 	// rateLimit is the limit that the current process stated in its last response.
 	rateLimit rate.Limit
 }
@@ -72,7 +75,7 @@
 	if heartbeat.StartedAt.IsZero() && heartbeat.ID == s.lastHeartbeat.ID && !s.lastHeartbeat.StartedAt.IsZero() {
 		return VerdictIncomplete
 	}
-	if s.ended[processOf(heartbeat)] || s.hasDeregistered(heartbeat) {
+	if s.hasLeft(heartbeat) {
 		return VerdictSuperseded
 	}
 	if s.state == StateAbsent || processOf(heartbeat) != processOf(s.lastHeartbeat) {
@@ -97,18 +100,30 @@
 	if known && heartbeat.ID != s.lastHeartbeat.ID && heartbeat.StartedAt.Equal(s.lastHeartbeat.StartedAt) && !silent && s.state == StateReady {
 		return VerdictSuperseded
 	}
-	if known && (s.state == StateDraining || s.lastHeartbeat.StartedAt.Before(heartbeat.StartedAt)) {
-		s.markEnded(s.lastHeartbeat)
+	if s.mayHaveLeft(heartbeat) {
+		s.candidate = s.candidate.with(now, heartbeat)
+		if !s.candidate.confirmed(now, s.options.Interval) {
+			return VerdictUnconfirmed
+		}
 	}
-	s.accept(now, heartbeat, eventNewProcess)
+	s.replace(now, heartbeat)
 
 	return VerdictAccepted
 }
 
+// replace makes the process of the heartbeat the current one.
+func (s *Server) replace(now time.Time, heartbeat Heartbeat) {
+	if s.state == StateDraining || s.state != StateAbsent && s.lastHeartbeat.StartedAt.Before(heartbeat.StartedAt) {
+		s.markEnded(s.lastHeartbeat)
+	}
+	s.accept(now, heartbeat, eventNewProcess)
+}
+
 func (s *Server) accept(now time.Time, heartbeat Heartbeat, trigger event) {
 	if processOf(heartbeat) != processOf(s.lastHeartbeat) {
 		s.rateLimit = rate.Limit{}
 	}
+	s.candidate = candidate{}
 	s.lastHeartbeat = heartbeat
 	s.lastHeartbeatAt = now
 	s.state = next(s.state, trigger)
@@ -125,6 +140,11 @@
 	s.ended[processOf(heartbeat)] = true
 }
 
+// hasLeft reports whether the process of the heartbeat is known to have ended or deregistered.
+func (s *Server) hasLeft(heartbeat Heartbeat) bool {
+	return s.ended[processOf(heartbeat)] || s.hasDeregistered(heartbeat)
+}
+
 // hasDeregistered reports whether the ID deregistered before any heartbeat of it was received, and the process had started by then.
 func (s *Server) hasDeregistered(heartbeat Heartbeat) bool {
 	at, found := s.deregisteredAt[heartbeat.ID]
@@ -134,6 +154,7 @@
 
 // Deregister processes a deregistration and reports whether it came from the current server.
 func (s *Server) Deregister(now time.Time, id string) bool {
+	s.dropCandidate(id)
 	if s.state == StateAbsent || s.lastHeartbeat.ID != id {
 		s.recordDeregistration(id, now)
 
