Tell a restarted node that the backend server beside it has left

What callers saw: a backend server whose leaving had been acknowledged, and which still passed its status checks, got work again after its node had been killed and started while the store turned it away, and a late heartbeat came. Cause: the leaving was announced to all nodes as the state of the node, which the next incarnation of the node takes back: nothing kept that the process of the backend server had left, which is final. Change: a node announces the process that left (member.Departure). Others keep it when the node is restarted, and tell it that node with the first message that they exchange, before it can have the routes from them, and so before a status check. The restarted node announces it again, and writes it to its row. The control calls have new fields, which earlier releases ignore.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -66,6 +66,10 @@
 	mu    sync.Mutex
 	fleet *member.Fleet
 
+	// departures receives what other nodes know of the backend server beside this one, and departed is the last one known.
+	departures chan member.Departure
+	departed   *member.Departure
+
 	// view is replaced as a whole, so that readers need no lock.
 	view atomic.Pointer[view]
 	// wakeups makes the tick loop start a round early.
@@ -94,6 +98,7 @@
 		fixedTargets: map[string]config.Target{},
 		wakeups:      make(chan struct{}, 1),
 		done:         make(chan error, 1),
+		departures:   make(chan member.Departure, 1),
 		calls:        &errgroup.Group{},
 	}
 	g.calls.SetLimit(maxCalls)
@@ -220,6 +225,21 @@
 	g.launchOnce.Do(g.launch)
 }
 
+// SetDeparted announces that the backend server beside the node has left.
+func (g *Gossip) SetDeparted(departure member.Departure) {
+	_ = g.update(func(now time.Time) error {
+		g.fleet.SetDeparted(now, departure)
+		g.departed = g.fleet.Self().Departed
+
+		return nil
+	})
+}
+
+// Departures returns a channel that receives the departure of the backend server beside the node that another node knows of.
+func (g *Gossip) Departures() <-chan member.Departure {
+	return g.departures
+}
+
 // SetLeaving announces that a planned stop of the node has begun.
 func (g *Gossip) SetLeaving() {
 	_ = g.update(func(now time.Time) error {
--- a/internal/gossip/loop.go
+++ b/internal/gossip/loop.go
@@ -69,6 +69,7 @@
 	now := time.Now()
 	actions := update(now)
 	g.refreshView(now)
+	g.passDeparture()
 	for _, event := range g.fleet.Events() {
 		g.log(ctx, event)
 	}
@@ -76,6 +77,19 @@
 	return actions
 }
 
+// passDeparture passes on a departure that another node has told. The caller must hold g.mu.
+func (g *Gossip) passDeparture() {
+	departed := g.fleet.Self().Departed
+	if departed == g.departed {
+		return
+	}
+	g.departed = departed
+	select {
+	case g.departures <- *departed:
+	default:
+	}
+}
+
 // execute performs actions concurrently. Actions beyond maxCalls are dropped, as if they had not been due.
 func (g *Gossip) execute(ctx context.Context, actions []member.Action) {
 	for _, action := range actions {
--- a/internal/guard/confirm.go
+++ b/internal/guard/confirm.go
@@ -126,6 +126,7 @@
 func (g *Guard) acceptCandidate(now time.Time, health beat.Health) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.handleDepartures(now)
 	before := g.backend.LastHeartbeat()
 	if !g.backend.Confirm(now, health.ID) {
 		return
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -42,6 +42,10 @@
 type Announcer interface {
 	SetPeers(address string)
 	SetState(state member.State) error
+	// SetDeparted announces that the backend server has left, and Departures receives what other nodes know of one that left before the start
+	// of the node.
+	SetDeparted(departure member.Departure)
+	Departures() <-chan member.Departure
 	// Join makes the node known to the fleet at once, whatever its state.
 	Join()
 	All() []member.Entry
@@ -300,6 +304,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	known := g.backend.Deregister(now, id)
+	if !known {
+		g.announceDeparture(now, beat.Heartbeat{ID: id})
+	}
 	g.applyState(now)
 
 	return known
@@ -339,6 +346,15 @@
 			_ = panics.Do(ctx, g.options.Log, "tick of the guard", func(context.Context) error {
 				g.tick(now)
 
+				return nil
+			})
+		case departure := <-g.announcer.Departures():
+			// the error has been logged, and the departure is known to the row and to other nodes
+			_ = panics.Do(ctx, g.options.Log, "departure of the backend server", func(context.Context) error {
+				g.mu.Lock()
+				defer g.mu.Unlock()
+				g.handleDeparture(time.Now(), departure)
+
 				return nil
 			})
 		case now := <-g.nextStart.C:
@@ -385,6 +401,7 @@
 		g.announce(member.StateServing)
 	case beat.StateDraining:
 		g.queue.RefuseAll(reasonDraining)
+		g.announceDeparture(now, g.backend.LastHeartbeat())
 		g.announce(member.StateDraining)
 	case beat.StateLost:
 		g.queue.RefuseAll(reasonLost)
--- a/pkg/beat/past.go
+++ b/pkg/beat/past.go
@@ -63,6 +63,9 @@
 // restoreLeaving applies the leaving of a process, which a late heartbeat may have made ready since the restart.
 func (s *Server) restoreLeaving(snapshot Snapshot) {
 	s.recordDeregistration(snapshot.Heartbeat.ID, snapshot.AsOf)
+	if !snapshot.Heartbeat.StartedAt.IsZero() {
+		s.markEnded(snapshot.Heartbeat)
+	}
 	s.dropCandidate(snapshot.Heartbeat.ID)
 	same := processOf(snapshot.Heartbeat) == processOf(s.lastHeartbeat)
 	if snapshot.Heartbeat.StartedAt.IsZero() {
--- a/pkg/member/entry.go
+++ b/pkg/member/entry.go
@@ -39,6 +39,8 @@
 	// LeavingAt is when a planned stop of the node began, by its own clock; zero without one. The node still accepts calls until it
 	// announces that it is draining.
 	LeavingAt time.Time
+	// Departed is the last backend server beside the node that has left, nil for none. An entry without one doesn't undo it.
+	Departed *Departure
 	// Slots is the number of requests that the node's backend server runs at once, Connections the connections configured for it.
 	Slots       int
 	Connections int
--- a/pkg/member/fleet.go
+++ b/pkg/member/fleet.go
@@ -41,6 +41,8 @@
 type record struct {
 	entry     *Entry
 	updatedAt time.Duration
+	// departed is the last departure that the node has announced, in whichever incarnation.
+	departed *Departure
 }
 
 // schedule holds the next due time of each periodic task.
@@ -181,6 +183,9 @@
 		f.sums[bucketOf(entry.ID)] ^= rec.entry.sum()
 	}
 	rec.entry = entry
+	if entry.Departed != nil {
+		rec.departed = entry.Departed
+	}
 	rec.updatedAt = now.Sub(f.start)
 	f.sums[bucketOf(entry.ID)] ^= entry.sum()
 	f.serial++
--- a/pkg/member/merge.go
+++ b/pkg/member/merge.go
@@ -48,6 +48,7 @@
 // mergeSelf handles an update about this node itself: it refutes suspicion and death with a higher version, spreads its entry again
 // to replace an older incarnation, and raises its incarnation when another process uses its ID.
 func (f *Fleet) mergeSelf(now time.Time, received *Entry) bool {
+	f.learnDeparture(now, received)
 	switch {
 	case received.Incarnation > f.self.Incarnation && now.Before(f.nameConflictAt.Add(f.options.SuspectTimeout)):
 		return false
@@ -83,9 +84,6 @@
 // correctionFor returns this node's entry for the sender if it supersedes the one that the sender announced, so that the sender can
 // refute it; nil otherwise.
 func (f *Fleet) correctionFor(sender *Entry, now time.Time) []Update {
-	if sender == nil {
-		return nil
-	}
 	rec, found := f.records[sender.ID]
 	if !found || !rec.entry.supersedes(sender) {
 		return nil
@@ -94,6 +92,15 @@
 	return []Update{f.updateOf(rec, now)}
 }
 
+// newsFor returns what the sender of its own entry has to know about itself.
+func (f *Fleet) newsFor(sender *Entry, now time.Time) []Update {
+	if sender == nil {
+		return nil
+	}
+
+	return append(f.correctionFor(sender, now), f.departureFor(sender.ID, now)...)
+}
+
 // nextMessage returns the queued changes that are due to be sent next.
 func (f *Fleet) nextMessage(now time.Time) Message {
 	ids := f.changes.take(f.options.MaxBatch, len(f.ids))
--- a/pkg/member/message.go
+++ b/pkg/member/message.go
@@ -84,6 +84,8 @@
 	ReasonRefuted Reason = "refuted"
 	// ReasonNameConflict means that another process uses the ID of this node.
 	ReasonNameConflict Reason = "nameUsedByAnotherProcess"
+	// ReasonDeparture means that another node knows that the backend server beside this one has left.
+	ReasonDeparture Reason = "departureHeard"
 	// ReasonObserverPaused means that this node itself was paused.
 	ReasonObserverPaused Reason = "observerWasPaused"
 	// ReasonTombstoneExpired means that the entry of an ended node was removed.
--- a/pkg/member/pick.go
+++ b/pkg/member/pick.go
@@ -143,6 +143,7 @@
 	if verdictRank(entry.State) > 0 {
 		message.Updates = append(message.Updates, f.updateOf(f.records[entry.ID], now))
 	}
+	message.Updates = append(message.Updates, f.departureFor(entry.ID, now)...)
 
 	return Action{Kind: ActionExchange, Sent: now, To: entry.ID, Address: entry.Control, Message: message}
 }
--- a/pkg/member/sync.go
+++ b/pkg/member/sync.go
@@ -96,6 +96,9 @@
 			message.Updates = append(message.Updates, update)
 		}
 	}
+	if difference.From.Entry != nil {
+		message.Updates = append(message.Updates, f.departureFor(difference.From.Entry.ID, now)...)
+	}
 	if len(message.Updates) == 0 {
 		return nil
 	}
