Announce the departure of an unknown server only while none is known

Cause: found on reading the diff. A late deregistration of an earlier process took the place of the departure of the current one, which other nodes keep. Change: the ID of a deregistration is announced by itself only where the node knows no server, as after a restart. Random messages carry departures. Figures: the tests of pkg/member and of leaving in platform pass.

--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -278,7 +278,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	known := g.backend.Deregister(now, id)
-	if !known {
+	if g.backend.State() == beat.StateAbsent {
 		g.announceDeparture(now, beat.Heartbeat{ID: id})
 	}
 	g.applyState(now)
--- a/pkg/member/malformed_test.go
+++ b/pkg/member/malformed_test.go
@@ -30,6 +30,7 @@
 			DataCentre:  rapid.SampledFrom([]string{"", "hal-a"}).Draw(t, "data centre"),
 			Service:     rapid.SampledFrom([]string{"", "logboek"}).Draw(t, "service"),
 			Control:     rapid.SampledFrom([]string{"", "a:1", "\x00"}).Draw(t, "control"),
+			Departed:    rapid.SampledFrom([]*member.Departure{nil, {}, {Process: "i-1", At: time.Unix(1<<60, 0)}}).Draw(t, "departed"),
 		},
 	}
 }
