--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -115,9 +115,9 @@
 	active    atomic.Int64
 	draining  atomic.Bool
 	end       atomic.Pointer[leave.End]
-	// patience is the context of calls that their callers can't cancel; giveUp ends it.
-	patience context.Context
-	giveUp   context.CancelFunc
+	// callContext is the context of calls that their callers cannot cancel; cancelCalls ends it.
+	callContext context.Context
+	cancelCalls context.CancelFunc
 	// suspectTurn holds a value while a request runs that was running when a backend server crashed.
 	suspectTurn chan struct{}
 	// services is the number of services in the fleet.
@@ -189,7 +189,7 @@
 		return nil, err
 	}
 	g.announcer.SetPeers(g.server.Address())
-	g.patience, g.giveUp = context.WithCancel(context.WithoutCancel(ctx))
+	g.callContext, g.cancelCalls = context.WithCancel(context.WithoutCancel(ctx))
 	ctx, g.cancel = context.WithCancel(ctx)
 	go g.run(ctx)
 	go g.confirmCandidates(ctx)
@@ -218,7 +218,7 @@
 // Stop closes the listener and the connections to the backend server.
 func (g *Guard) Stop(ctx context.Context) error {
 	defer g.close()
-	defer g.giveUp()
+	defer g.cancelCalls()
 	g.cancel()
 	<-g.stopped
 	<-g.confirmEnded
--- a/internal/guard/run.go
+++ b/internal/guard/run.go
@@ -78,7 +78,7 @@
 		return refused(call.ReasonQuarantined)
 	}
 	if x.hop.Once {
-		c = x.guard.patience
+		c = x.guard.callContext
 	}
 	x.origin = x.guard.demand.CountExecution(x.hop, int(x.guard.services.Load()))
 
--- a/internal/guard/stop.go
+++ b/internal/guard/stop.go
@@ -22,7 +22,7 @@
 // GiveUp ends all calls, also those that must not be cancelled by their callers. Their outcome is unknown if they run.
 func (g *Guard) GiveUp() {
 	g.server.GiveUp()
-	g.giveUp()
+	g.cancelCalls()
 }
 
 // Active returns the number of calls in the queue or running, or of calls of other nodes whose responses have not been sent as a whole if
--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -84,7 +84,7 @@
 func (c *connection) readRequests(ctx context.Context) error {
 	ctx, c.cancel = context.WithCancel(ctx)
 	defer c.cancel()
-	defer context.AfterFunc(c.protocol.server.patience, c.cancel)()
+	defer context.AfterFunc(c.protocol.server.handlerContext, c.cancel)()
 	defer c.end()
 	for c.waitForRequest() {
 		if err := c.acceptRequest(ctx); err != nil {
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -51,9 +51,9 @@
 	// bodies bounds the larger request bodies together.
 	bodies             *budget.Budget
 	keepAlivesDisabled atomic.Bool
-	// patience is the context of all handlers; giveUp ends it.
-	patience context.Context
-	giveUp   context.CancelFunc
+	// The end of handlerContext ends the contexts of all handlers; cancelHandlers ends it.
+	handlerContext context.Context
+	cancelHandlers context.CancelFunc
 	// openRequests is the number of requests that have been read and have no sent response.
 	openRequests atomic.Int64
 	// lastEndedAt is when the latest request ended, in Unix nanoseconds.
@@ -103,7 +103,7 @@
 		tighter:    options.Limits,
 		bodies:     budget.New(maxBodies),
 	}
-	s.patience, s.giveUp = context.WithCancel(context.Background())
+	s.handlerContext, s.cancelHandlers = context.WithCancel(context.Background())
 	if s.tighter == nil {
 		s.tighter = func() routes.Limits { return routes.Limits{} }
 	}
@@ -173,12 +173,12 @@
 
 // GiveUp cancels the contexts of all handlers, whose responses are still sent.
 func (s *Server) GiveUp() {
-	s.giveUp()
+	s.cancelHandlers()
 }
 
 // Close stops the server. Requests must have been drained before; responses that are still being sent get sendTimeout.
 func (s *Server) Close(ctx context.Context) error {
-	defer s.giveUp()
+	defer s.cancelHandlers()
 	s.waitForResponses(ctx)
 	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
 	defer cancel()
--- a/pkg/member/merge.go
+++ b/pkg/member/merge.go
@@ -92,8 +92,8 @@
 	return []Update{f.updateOf(rec, now)}
 }
 
-// newsFor returns what the sender of its own entry has to know about itself.
-func (f *Fleet) newsFor(sender *Entry, now time.Time) []Update {
+// updatesAbout returns what the sender of its own entry does not know about itself.
+func (f *Fleet) updatesAbout(sender *Entry, now time.Time) []Update {
 	if sender == nil {
 		return nil
 	}
--- a/pkg/member/verify.go
+++ b/pkg/member/verify.go
@@ -74,7 +74,7 @@
 		f.merge(now, message)
 	}
 	response := f.nextMessage(now)
-	response.Updates = append(response.Updates, f.newsFor(message.From.Entry, now)...)
+	response.Updates = append(response.Updates, f.updatesAbout(message.From.Entry, now)...)
 
 	return response
 }
