Leave time for the services that stop after gossip

What operators saw: a planned stop ended with 'stop trace: context deadline exceeded' and exit code 1 where the fleet has three nodes or more and requests kept the node busy to the end; the last decision lines could be lost. Cause: a node that has left waited for three rounds of gossip, 0.6 s, or to the deadline of the whole stop, of which 0.54 s are left at a grace period of 6 s. Evidence: TestStopLeavesTimeForOtherServices failed: 'context deadline exceeded'. Change: it waits for half of the remaining time at most.

--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -26,6 +26,7 @@
 	maxCalls = 32
 	// propagationRounds is the number of gossip rounds that a leaving node waits before it stops.
 	propagationRounds = 3
+	propagationShare  = 0.5
 	// announceDelay is how long a starting node stays out of gossip unless its backend server is heard earlier, so that its entry does not replace
 	// that of a serving incarnation of the same node.
 	announceDelay = time.Second
@@ -158,10 +159,13 @@
 	}()
 }
 
-// Stop ends the loops. If the node has left, it first waits for the departure to propagate.
+// Stop ends the loops. If the node has left, it first waits for that to propagate, for propagationShare of the time to the deadline of the
+// context at most: services that stop after this one need the rest.
 func (g *Gossip) Stop(ctx context.Context) error {
 	if g.Self().State == member.StateLeft {
-		g.AwaitPropagation(ctx)
+		waitCtx, cancel := withShareOfTime(ctx, propagationShare)
+		g.AwaitPropagation(waitCtx)
+		cancel()
 	}
 	g.cancel()
 	g.launchOnce.Do(func() { g.done <- nil })
@@ -169,6 +173,16 @@
 	return nil
 }
 
+// withShareOfTime returns a context that ends after a share of the time to the deadline of the context, if it has one.
+func withShareOfTime(ctx context.Context, share float64) (context.Context, context.CancelFunc) {
+	deadline, found := ctx.Deadline()
+	if !found {
+		return context.WithCancel(ctx)
+	}
+
+	return context.WithTimeout(ctx, time.Duration(share*float64(time.Until(deadline))))
+}
+
 // AwaitPropagation waits for propagationRounds rounds of gossip, or until the context ends. Without other members it returns
 // at once.
 func (g *Gossip) AwaitPropagation(ctx context.Context) {
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -117,6 +117,17 @@
 	}
 }
 
+// Guards against a planned stop in which no time is left for the services that stop after gossip.
+func TestStopLeavesTimeForOtherServices(t *testing.T) {
+	departing := startMany(t, 3)[0]
+	require.NoError(t, departing.SetState(member.StateDraining))
+	require.NoError(t, departing.SetState(member.StateLeft))
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	require.NoError(t, departing.Stop(ctx))
+	require.NoError(t, ctx.Err())
+}
+
 func TestKilledNodeIsDeclaredDeadAndItsRestartJoins(t *testing.T) {
 	instances := startMany(t, 6)
 	instances[5].stop()
