Reject responses without a valid status line

What callers saw: a backend server in trouble sent 'HTTP/1.1 000 OK'; the caller got it as an answer, with status 200 (MIXED). The same with a status of four digits, one above 599, another protocol name or version, and control characters in the reason phrase. A status of 099 ended in 504 at the deadline. Cause: hertz's parser repairs what it does not understand: it keeps the status 200 of an empty header where it has read 0, and takes each first line with a space and a number for a status line. 099 was skipped as an interim response. Behind a response 100, hertz read the next head by itself. Change: heads.ReadResponse checks the status line (RFC 9112, section 4) as soon as it has arrived and shows the parser a head only when it is complete, final and interim ones alike. A rejected head states nothing: nobody has seen it. The request may have run, so a read is tried elsewhere at once, a booking ends in 502. Empty lines before a status line are skipped as before; a status line may lack the space behind its status.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -6,7 +6,6 @@
 
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/req"
-	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 	"github.com/cockroachdb/errors"
 
 	"github.com/pistachiotack/pistachiotack/internal/budget"
@@ -121,7 +120,8 @@
 	response := &a.response.Response
 	begin := a.conn.consumed
 	for {
-		if err := resp.ReadHeaders(response, heads.NewReader(a.conn)); err != nil {
+		response.ResetBody()
+		if err := heads.ReadResponse(&response.Header, a.conn); err != nil {
 			return err
 		}
 		status := response.StatusCode()
--- /dev/null
+++ b/internal/relay/script_test.go
@@ -0,0 +1,72 @@
+package relay_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiotack/pistachiotack/internal/relay"
+)
+
+// newSilentServer starts a server that answers with the text and then keeps the connection open until the client closes it.
+func newSilentServer(t *testing.T, text string) *endlessServer {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	s := &endlessServer{address: listener.Addr().String()}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				if _, err := http.ReadRequest(reader); err != nil {
+					return
+				}
+				if _, err := io.WriteString(conn, text); err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, reader)
+				s.ended.Add(1)
+			}()
+		}
+	}()
+
+	return s
+}
+
+// readStream reads a streamed body to its end.
+func readStream(response *relay.Response) error {
+	body, err := io.ReadAll(response.Stream)
+	response.Close()
+	response.Response.SetBody(body)
+
+	return err
+}
+
+// expectResponse checks that a response which the server sends before it closes the connection is read whole, buffered and streamed.
+func expectResponse(t *testing.T, text string, status int, body string) {
+	t.Helper()
+	for name, limits := range map[string]relay.Limits{"buffered": {}, "streamed": {Stream: true}} {
+		client, closeClient := relay.NewClient(time.Minute)
+		t.Cleanup(closeClient)
+		limits.MaxBodyBytes, limits.AllowCloseDelimited = maxBodyBytes, true
+		response, err := get(context.Background(), client, newScriptedServer(t, text).address, limits)
+		require.NoError(t, err, name)
+		require.Equal(t, status, response.Response.StatusCode(), name)
+		if response.Stream != nil {
+			require.NoError(t, readStream(response), name)
+		}
+		require.Equal(t, body, string(response.Response.Body()), name)
+	}
+}
