Reject responses with a line that is no field

Where the name of the length is spoilt, the response has none for it, and its body ends with the connection. Change: heads.CheckField accepts a token, a colon and a value without control characters other than tabs (RFC 9112, section 5), or a folded line behind a field. It checks each line of a head as it arrives, before the parser sees the head, of interim responses too. A blank between name and colon, which a proxy may remove, is rejected as well: operators count it as broken.

--- a/internal/heads/response.go
+++ b/internal/heads/response.go
@@ -17,8 +17,6 @@
 	versionLength = len("HTTP/1.1")
 	// statusLength is the length of the version and the status code.
 	statusLength = versionLength + len(" 200")
-	// deleteByte is the one control character above the space in ASCII.
-	deleteByte = 0x7f
 	// maxShownBytes bounds the bytes of a head that an error shows.
 	maxShownBytes = 32
 )
@@ -64,8 +62,8 @@
 type responseHead struct {
 	// next is the index of the first line that has not been checked.
 	next int
-	// started is true if the status line has been checked.
-	started bool
+	// lines is the number of lines that have been checked, without empty ones.
+	lines int
 }
 
 // read waits for the whole head, and returns the buffered bytes, which begin with it.
@@ -95,12 +93,9 @@
 		line := bytes.TrimSuffix(buffered[h.next:h.next+length], []byte{'\r'})
 		h.next += length + 1
 		switch {
-		case !h.started && len(line) == 0:
-			// empty lines before the status line are skipped
-		case !h.started:
-			h.started = true
-			err = checkStatusLine(line)
-		case len(line) == 0:
+		case len(line) > 0:
+			err = h.checkLine(line)
+		case h.lines > 0:
 			return true, nil
 		}
 		if err != nil {
@@ -109,6 +104,15 @@
 	}
 }
 
+func (h *responseHead) checkLine(line []byte) error {
+	h.lines++
+	if h.lines == 1 {
+		return checkStatusLine(line)
+	}
+
+	return CheckField(line, h.lines == 2)
+}
+
 // checkStatusLine returns an error unless the line has a version, a status code from 100 to 599, and any reason phrase.
 func checkStatusLine(line []byte) error {
 	switch {
@@ -134,17 +138,6 @@
 	return c >= '0' && c <= '9'
 }
 
-// isText reports whether the bytes may stand in a reason phrase or a field value: no control characters except tabs.
-func isText(text []byte) bool {
-	for _, c := range text {
-		if c < ' ' && c != '\t' || c == deleteByte {
-			return false
-		}
-	}
-
-	return true
-}
-
 // shorten returns the beginning of the text.
 func shorten(text []byte) string {
 	if len(text) <= maxShownBytes {
--- a/internal/relay/broken_test.go
+++ b/internal/relay/broken_test.go
@@ -96,3 +96,68 @@
 		})
 	}
 }
+
+func TestResponseWithALineThatIsNoFieldIsRejected(t *testing.T) {
+	for name, line := range map[string]string{
+		"no colon":                       "Content-Typ",
+		"no name":                        ": a",
+		"blank in a name":                "Content Type: a",
+		"blank behind a name":            "Content-Type : a",
+		"tab in a name":                  "Content\tType: a",
+		"tab behind a name":              "Content-Type\t: a",
+		"control byte in a name":         "Content\x01Type: a",
+		"NUL in a name":                  "Content\x00Type: a",
+		"delete in a name":               "Content\x7fType: a",
+		"carriage return in a name":      "Content\rType: a",
+		"byte above 0x7f in a name":      "Cont\xe9nt: a",
+		"separator in a name":            "Content(Type): a",
+		"blank in the name of a length":  "Content Length: 9",
+		"blank behind that name":         "Content-Length : 9",
+		"control byte in that name":      "Content-\x02Length: 9",
+		"blank in the name of a coding":  "Transfer Encoding: chunked",
+		"control byte in that of coding": "Transfer\x1f-Encoding: chunked",
+		"NUL in a value":                 "X: a\x00b",
+		"carriage return in a value":     "X: a\rb",
+		"carriage return at its end":     "X: a\r",
+		"control byte in a value":        "X: a\x01b",
+		"delete in a value":              "X: \x7f",
+		"NUL in a continuation":          "X: a\r\n b\x00",
+		"another status line":            "HTTP/1.1 200 OK",
+		"part of a body":                 "{\"a\":1}",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			const statusLine, length, body = "HTTP/1.1 200 OK\r\n", "Content-Length: 4\r\n", "\r\ndone"
+			expectNoResponse(t, relay.StageWait, statusLine+line+"\r\n"+length+body)
+			expectNoResponse(t, relay.StageWait, statusLine+length+line+"\r\n"+body)
+			expectNoResponse(t, relay.StageWait, statusLine+length+"X-Id: 1\r\n"+line+"\r\nX: b\r\n"+body)
+			expectNoResponse(t, relay.StageWait, statusLine+line+"\r\n"+body)
+			expectNoResponse(t, relay.StageWait, "HTTP/1.1 103 Early Hints\r\n"+line+"\r\n\r\n"+statusLine+length+body)
+		})
+	}
+	for _, blank := range []string{" ", "\t"} {
+		expectNoResponse(t, relay.StageWait, "HTTP/1.1 200 OK\r\n"+blank+"X: a\r\nContent-Length: 4\r\n\r\ndone")
+	}
+}
+
+func TestValidFieldLinesAreAccepted(t *testing.T) {
+	for name, line := range map[string]string{
+		"every character of a name": "!#$%&'*+-.^_`|~09azAZ: a\r\n",
+		"no value":                  "X:\r\n",
+		"blank value":               "X: \t \r\n",
+		"no blank":                  "X:a\r\n",
+		"bytes above 0x7f":          "X: \x80\xe9\xff\r\n",
+		"tabs":                      "X:\ta\tb\t\r\n",
+		"colons":                    "X: a: b:\r\n",
+		"line feed":                 "X: a\n",
+		"folded":                    "X: a\r\n b\r\n\tc: d\r\n",
+		"folded to nothing":         "X: a\r\n \r\n",
+		"the same field twice":      "X: a\r\nX: b\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			expectResponse(t, "HTTP/1.1 200 OK\r\n"+line+"Content-Length: 4\r\n\r\ndone", http.StatusOK, "done")
+			expectResponse(t, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"+line+"\r\ndone", http.StatusOK, "done")
+		})
+	}
+}
