Reject chunked responses with a trailer that is none

A chunked response whose trailer has a line that is no field was taken for a complete one, buffered and streamed. Cause: the trailer's lines were skipped unread when a body is buffered; a streamed body was read by hertz, whose parser repairs as that of heads does. Change: one reader of chunked bodies for buffered and streamed ones. It checks each line of the trailer as those of a head, and drops the fields as before. Chunk extensions in a streamed body, which hertz refused, pass as they do in a buffered one (TestValidChunkedResponsesAreAccepted failed in that case before). Figures: the tests pass; TestBytesBehindAStreamCloseItsConnection, which also passed before, shows that a connection is still not used again after trailing bytes.

--- a/internal/relay/answer.go
+++ b/internal/relay/answer.go
@@ -1,13 +1,12 @@
 package relay
 
 import (
-	"context"
 	"io"
+	"net/http"
 	"sync"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
-	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
 	"github.com/cockroachdb/errors"
 
 	"github.com/pistachiotack/pistachiotack/internal/budget"
@@ -58,26 +57,30 @@
 type Stream struct {
 	attempt *attempt
 	body    io.Reader
+	// chunks is the body if it is chunked.
+	chunks *chunkReader
 	// Length is the Content-Length of the response, -1 if it has none.
 	Length int64
 	read   int64
 	ended  bool
 }
 
-func (a *attempt) openStream(_ context.Context) error {
+// openStream leaves the body to be read from a stream.
+func (a *attempt) openStream() {
 	response := &a.response.Response
-	length := int64(response.Header.ContentLength())
-	if err := resp.ReadRespBodyStream(response, a.conn, streamBufferSize, nil); err != nil {
-		return err
+	stream := &Stream{attempt: a, Length: int64(response.Header.ContentLength())}
+	switch {
+	case response.MustSkipBody():
+		stream.body = http.NoBody
+	case stream.Length == chunkedLength:
+		stream.chunks = newChunkReader(a.conn)
+		stream.body = stream.chunks
+	default:
+		stream.body = io.LimitReader(a.conn, stream.Length)
 	}
-	a.response.Stream = &Stream{attempt: a, body: response.BodyStream(), Length: length}
-
-	return nil
+	a.response.Stream = stream
 }
 
-// streamBufferSize is the buffer size in bytes for reading a stream.
-const streamBufferSize = 32 << 10
-
 // Read returns io.EOF only at the end of a complete body, and io.ErrUnexpectedEOF if the body is shorter than its declared length.
 func (s *Stream) Read(p []byte) (int, error) {
 	if progress := s.attempt.limits.ProgressInterval; progress > 0 {
@@ -108,6 +111,7 @@
 		return
 	}
 	complete := s.ended || (s.Length >= 0 && s.read == s.Length)
-	s.attempt.release(complete && s.attempt.conn.Len() == 0 && s.attempt.reusable())
+	trailing := s.attempt.conn.Len() > 0 || s.chunks != nil && s.chunks.trailing()
+	s.attempt.release(complete && !trailing && s.attempt.reusable())
 	s.attempt = nil
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -77,7 +77,7 @@
 	if err := a.readHeader(); err != nil {
 		return a.newError(ctx, StageWait, waitReason(err), err)
 	}
-	if err := a.readBody(ctx); err != nil {
+	if err := a.readBody(); err != nil {
 		return a.newError(ctx, StageBody, bodyReason(err), err)
 	}
 
@@ -206,13 +206,15 @@
 	}
 }
 
-func (a *attempt) readBody(ctx context.Context) error {
+func (a *attempt) readBody() error {
 	response := &a.response.Response
 	if response.Header.ContentLength() == closeDelimitedLength && !response.MustSkipBody() {
 		return a.readCloseDelimitedBody()
 	}
 	if a.limits.Stream && successful(response.StatusCode()) {
-		return a.openStream(ctx)
+		a.openStream()
+
+		return nil
 	}
 	// a response that Matches has identified is complete despite trailing bytes, but its connection must not be reused
 	trailing, err := a.bufferBody()
--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net/http/httputil"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/pistachiotack/pistachiotack/internal/budget"
+	"github.com/pistachiotack/pistachiotack/internal/heads"
 )
 
 const (
@@ -54,24 +56,64 @@
 	}
 }
 
-// readChunked reads a chunked body with its trailer, whose fields are dropped. It reports whether bytes follow that were read with it.
+// readChunked reads a chunked body with its trailer. It reports whether bytes follow that were read with it.
 func (b *bodyReader) readChunked(conn io.Reader) (trailing bool, err error) {
-	buffered := bufio.NewReaderSize(conn, chunkReadBuffer)
-	if err := b.readToEnd(httputil.NewChunkedReader(buffered)); err != nil {
+	chunks := newChunkReader(conn)
+	if err := b.readToEnd(chunks); err != nil {
 		return false, err
 	}
-	for read := 0; read < maxTrailerBytes; {
-		line, err := buffered.ReadSlice('\n')
+
+	return chunks.trailing(), nil
+}
+
+// chunkReader reads a chunked body and, at its end, the trailer, whose fields are checked and dropped.
+type chunkReader struct {
+	buffered *bufio.Reader
+	body     io.Reader
+}
+
+func newChunkReader(conn io.Reader) *chunkReader {
+	buffered := bufio.NewReaderSize(conn, chunkReadBuffer)
+
+	return &chunkReader{buffered: buffered, body: httputil.NewChunkedReader(buffered)}
+}
+
+// Read returns io.EOF only behind the trailer, and io.ErrUnexpectedEOF if the connection ends before the last chunk.
+func (r *chunkReader) Read(p []byte) (int, error) {
+	n, err := r.body.Read(p)
+	if err == io.EOF {
+		if trailerErr := r.readTrailer(); trailerErr != nil {
+			err = trailerErr
+		}
+	}
+
+	return n, err
+}
+
+// trailing reports whether bytes behind the body have been read with it.
+func (r *chunkReader) trailing() bool {
+	return r.buffered.Buffered() > 0
+}
+
+func (r *chunkReader) readTrailer() error {
+	first := true
+	for read := 0; read < maxTrailerBytes; first = false {
+		line, err := r.buffered.ReadSlice('\n')
 		read += len(line)
 		switch {
 		case err == io.EOF:
-			return false, nil
+			return nil
 		case err != nil:
-			return false, err
-		case len(line) <= len("\r\n"):
-			return buffered.Buffered() > 0, nil
+			return err
+		}
+		line = bytes.TrimSuffix(line[:len(line)-1], []byte{'\r'})
+		if len(line) == 0 {
+			return nil
+		}
+		if err := heads.CheckField(line, first); err != nil {
+			return errors.Wrap(err, "trailer")
 		}
 	}
 
-	return false, errEndless
+	return errEndless
 }
--- a/internal/relay/broken_test.go
+++ b/internal/relay/broken_test.go
@@ -23,7 +23,6 @@
 		server := newSilentServer(t, text)
 		client, closeClient := relay.NewClient(time.Minute)
 		t.Cleanup(closeClient)
-		limits.MaxBodyBytes = maxBodyBytes
 		believed := false
 		limits.Matches = func(*protocol.ResponseHeader) bool {
 			believed = true
@@ -31,7 +30,7 @@
 			return true
 		}
 		startedAt := time.Now()
-		response, err := get(t.Context(), client, server.address, limits)
+		response, err := open(t, client, server.address, limits)
 		if err == nil && response.Stream != nil {
 			err = readStream(response)
 		}
@@ -231,3 +230,73 @@
 		})
 	}
 }
+
+func TestChunkedResponseThatIsMalformedIsRejected(t *testing.T) {
+	const head, chunk, last = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\ndone\r\n", "0\r\n"
+	for name, body := range map[string]string{
+		"size no number":                "x\r\ndone\r\n" + last + "\r\n",
+		"no size":                       "\r\ndone\r\n" + last + "\r\n",
+		"negative size":                 "-4\r\ndone\r\n" + last + "\r\n",
+		"size too large":                "fffffffffffffffff\r\ndone\r\n" + last + "\r\n",
+		"chunk longer than its size":    "3\r\ndone\r\n" + last + "\r\n",
+		"chunk shorter than its size":   "5\r\ndone\r\n" + last + "\r\n",
+		"trailer without a colon":       chunk + last + "X\r\n\r\n",
+		"trailer without a name":        chunk + last + ": a\r\n\r\n",
+		"blank in a trailer's name":     chunk + last + "X Y: a\r\n\r\n",
+		"control byte in that name":     chunk + last + "X\x01: a\r\n\r\n",
+		"NUL in a trailer's value":      chunk + last + "X: \x00\r\n\r\n",
+		"trailer that begins folded":    chunk + last + " X: a\r\n\r\n",
+		"second trailer line is none":   chunk + last + "X: a\r\nY\r\n\r\n",
+		"another chunk behind the last": chunk + last + chunk + last + "\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			expectNoResponse(t, relay.StageBody, head+body)
+		})
+	}
+}
+
+func TestValidChunkedResponsesAreAccepted(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for name, body := range map[string]string{
+		"one chunk":       "4\r\ndone\r\n0\r\n\r\n",
+		"chunks":          "1\r\nd\r\n3\r\none\r\n0\r\n\r\n",
+		"leading zeros":   "0004\r\ndone\r\n000\r\n\r\n",
+		"extension":       "4;a=b;c=\"d\"\r\ndone\r\n0;e\r\n\r\n",
+		"trailer":         "4\r\ndone\r\n0\r\nX: a\r\nY:\r\n\r\n",
+		"folded trailer":  "4\r\ndone\r\n0\r\nX: a\r\n b\r\n\r\n",
+		"line feed there": "4\r\ndone\r\n0\r\nX: a\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			expectResponse(t, head+body, http.StatusOK, "done")
+		})
+	}
+}
+
+func TestBytesBehindAStreamCloseItsConnection(t *testing.T) {
+	for name, test := range map[string]struct {
+		text     string
+		accepted int64
+	}{
+		"length, nothing":   {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone", 1},
+		"length, more":      {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone and more", 2},
+		"chunks, nothing":   {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n", 1},
+		"chunks, more":      {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\nand more", 2},
+		"no body, nothing":  {"HTTP/1.1 204 No Content\r\n\r\n", 1},
+		"no body, but more": {"HTTP/1.1 204 No Content\r\n\r\ndone", 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := newScriptedServer(t, test.text, test.text)
+			client, closeClient := relay.NewClient(time.Minute)
+			t.Cleanup(closeClient)
+			for range 2 {
+				response, err := open(t, client, server.address, relay.Limits{Stream: true})
+				require.NoError(t, err)
+				require.NoError(t, readStream(response))
+			}
+			require.Equal(t, test.accepted, server.accepted.Load())
+		})
+	}
+}
--- a/internal/relay/script_test.go
+++ b/internal/relay/script_test.go
@@ -2,13 +2,13 @@
 
 import (
 	"bufio"
-	"context"
 	"io"
 	"net"
 	"net/http"
 	"testing"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/stretchr/testify/require"
 
 	"github.com/pistachiotack/pistachiotack/internal/relay"
@@ -45,6 +45,18 @@
 	return s
 }
 
+// open sends a request whose response may be read until the test ends.
+func open(t *testing.T, client *relay.Client, address string, limits relay.Limits) (*relay.Response, error) {
+	t.Helper()
+	request := &protocol.Request{}
+	request.Header.SetRequestURI("/")
+	request.Header.SetHost(address)
+	limits.MaxBodyBytes, limits.Deadline = maxBodyBytes, time.Now().Add(attemptTimeout)
+	response := &relay.Response{}
+
+	return response, client.Do(t.Context(), address, request, response, limits)
+}
+
 // readStream reads a streamed body to its end.
 func readStream(response *relay.Response) error {
 	body, err := io.ReadAll(response.Stream)
@@ -60,8 +72,8 @@
 	for name, limits := range map[string]relay.Limits{"buffered": {}, "streamed": {Stream: true}} {
 		client, closeClient := relay.NewClient(time.Minute)
 		t.Cleanup(closeClient)
-		limits.MaxBodyBytes, limits.AllowCloseDelimited = maxBodyBytes, true
-		response, err := get(context.Background(), client, newScriptedServer(t, text).address, limits)
+		limits.AllowCloseDelimited = true
+		response, err := open(t, client, newScriptedServer(t, text).address, limits)
 		require.NoError(t, err, name)
 		require.Equal(t, status, response.Response.StatusCode(), name)
 		if response.Stream != nil {
