Reject responses that switch protocols unasked

What callers saw: nothing that was reported; found beside the status line. A response 101 of a backend server reached the client as its answer. Cause: no request of ours asks for another protocol, as Upgrade is not passed on, and yet 101 ended the search for the final response. Change: 101 is an error like a head that is none: the request may have run.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
@@ -124,11 +125,12 @@
 		if err := heads.ReadResponse(&response.Header, a.conn); err != nil {
 			return err
 		}
-		status := response.StatusCode()
-		if status >= firstFinalStatus || status == statusSwitchingProtocols {
+		switch status := response.StatusCode(); {
+		case status >= firstFinalStatus:
 			return nil
-		}
-		if a.conn.consumed-begin > maxHeadBytes {
+		case status == http.StatusSwitchingProtocols:
+			return errSwitchedProtocol
+		case a.conn.consumed-begin > maxHeadBytes:
 			return errHeadTooLong
 		}
 	}
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -22,6 +22,7 @@
 	errWrongResponse    = errors.New("answer belongs to another request")
 	errUnnamedResponse  = errors.New("answer on a kept connection names no request")
 	errHeadTooLong      = errors.New("header is longer than allowed")
+	errSwitchedProtocol = errors.New("answer switches to a protocol that was not asked for")
 	errEndless          = errors.New("answer without a length is longer than allowed")
 )
 
@@ -86,8 +87,6 @@
 	maxHeadBytes = maxPeekBytes
 	// firstFinalStatus is the lowest status of a response that is not an interim one.
 	firstFinalStatus = 200
-	// statusSwitchingProtocols is the one status below it that ends the response.
-	statusSwitchingProtocols = 101
 )
 
 // Do sends the request once and reads the response. It needs a deadline in the limits or the context. Errors are of type *Error.
