Name the error of a failed attempt in the decision log

What operators saw: 'reason=connectionBroken' for a response that is none of HTTP/1.1 as for a connection that was reset; what was wrong with it stood nowhere. Cause: the node beside the backend server, and the entry node for other nodes, kept the reason of a failed attempt and dropped its error. Evidence: TestDecisionLogSaysWhatIsWrongWithABrokenResponse failed: no 'malformed field line' in the detail of the admit line. Change: the detail of admit and route lines ends with the error.

--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/protocol"
+	"github.com/cockroachdb/errors"
 
 	"github.com/pistachiotack/pistachiotack/internal/relay"
 	"github.com/pistachiotack/pistachiotack/internal/trace"
@@ -17,6 +18,9 @@
 	"github.com/pistachiotack/pistachiotack/pkg/routes"
 )
 
+// errNoReport means that the response of a node has no report.
+var errNoReport = errors.New("answer of the node without a report")
+
 // maxNodesTried is the maximum number of nodes tried for one request, including those that refuse it.
 const maxNodesTried = 5
 
@@ -103,9 +107,9 @@
 	chosen := choice.Entry
 	r.tried = append(r.tried, chosen.ID)
 	startedAt := time.Now()
-	report, reported := r.send(c, chosen, response)
-	r.recordAttempt(chosen, report, reported, time.Since(startedAt))
-	r.traceDecision(trace.StepRoute, chosen.ID, report.Outcome, report.Reason, r.choiceDetail(choice))
+	report, err := r.send(c, chosen, response)
+	r.recordAttempt(chosen, report, err == nil, time.Since(startedAt))
+	r.traceDecision(trace.StepRoute, chosen.ID, report.Outcome, report.Reason, r.choiceDetail(choice, err))
 	if report.Outcome != call.OutcomeNotRun {
 		r.dispatched++
 	}
@@ -121,37 +125,42 @@
 	return refusal, false
 }
 
-func (r *request) choiceDetail(choice route.Choice) string {
-	return string(choice.Reason) + " of " + strconv.Itoa(choice.Candidates) + ", cost " + decimal(choice.Cost) + "; " + r.detail
+// choiceDetail describes the choice of a node, and the error of the attempt at it, if there is one.
+func (r *request) choiceDetail(choice route.Choice, err error) string {
+	detail := string(choice.Reason) + " of " + strconv.Itoa(choice.Candidates) + ", cost " + decimal(choice.Cost) + "; " + r.detail
+	if err != nil {
+		detail += "; " + err.Error()
+	}
+
+	return detail
 }
 
-// send sends the request to the chosen node; reported is true if the report comes from that node.
-func (r *request) send(c context.Context, chosen member.Entry, response *relay.Response) (report wire.Report, reported bool) {
+// send sends the request to the chosen node. The error says why the report doesn't come from that node.
+func (r *request) send(c context.Context, chosen member.Entry, response *relay.Response) (wire.Report, error) {
 	hop := r.hop()
 	if chosen.ID == r.front.options.Node {
-		return r.front.runner.Run(c, hop, &r.http.Request, response), true
+		return r.front.runner.Run(c, hop, &r.http.Request, response), nil
 	}
 	out := protocol.AcquireRequest()
 	defer protocol.ReleaseRequest(out)
 	wire.ForwardRequest(out, &r.http.Request)
 	wire.SetHop(&out.Header, hop)
-	err := r.front.client.Do(c, chosen.Peers, out, response, relay.Limits{
+	if err := r.front.client.Do(c, chosen.Peers, out, response, relay.Limits{
 		MaxBodyBytes: maxResponse,
 		Buffers:      r.front.buffers,
 		DialTimeout:  peerDialTimeout,
 		Deadline:     r.deadline,
-	})
-	if err != nil {
+	}); err != nil {
 		outcome, reason := relay.OutcomeOf(err)
 
-		return wire.Report{Outcome: outcome, Reason: reason}, false
+		return wire.Report{Outcome: outcome, Reason: reason}, err
 	}
-	report, reported = wire.ParseReport(&response.Response.Header)
+	report, reported := wire.ParseReport(&response.Response.Header)
 	if !reported {
-		return wire.Report{Outcome: call.OutcomeUnknown, Reason: call.ReasonTorn}, false
+		return wire.Report{Outcome: call.OutcomeUnknown, Reason: call.ReasonTorn}, errNoReport
 	}
 
-	return report, true
+	return report, nil
 }
 
 func (r *request) hop() wire.Hop {
--- a/internal/guard/run.go
+++ b/internal/guard/run.go
@@ -34,6 +34,8 @@
 	process string
 	// fatalID is the ID that equal requests have, nil until it is needed.
 	fatalID *fatal.ID
+	// failure is the error of the attempt at the backend server, nil if there is none.
+	failure error
 }
 
 // Run executes a call, fills the response, and reports the outcome: ran, notRun (refused, and certainly not run) or unknown. The
@@ -227,6 +229,7 @@
 
 // reportFailure returns the report on an attempt that got no complete response.
 func (x *execution) reportFailure(c context.Context, err error) wire.Report {
+	x.failure = err
 	outcome, reason := relay.OutcomeOf(err)
 	switch {
 	case outcome == call.OutcomeNotRun:
@@ -321,6 +324,10 @@
 }
 
 func (x *execution) traceFailure(report wire.Report) {
+	detail := x.guard.describeLoad()
+	if x.failure != nil {
+		detail += "; " + x.failure.Error()
+	}
 	x.guard.refused.WithTag(string(report.Reason)).Inc(1)
 	x.guard.tracer.Record(trace.Decision{
 		Step:     trace.StepAdmit,
@@ -331,7 +338,7 @@
 		Rank:     call.Rank(x.hop.Rank),
 		Outcome:  report.Outcome,
 		Reason:   report.Reason,
-		Detail:   x.guard.describeLoad(),
+		Detail:   detail,
 		Elapsed:  time.Since(x.startedAt),
 		Revision: x.guard.holder.Revision(),
 	})
