Read the answers of the table service and the object store within bounds

What operators saw, on systems like this one: a faulty server sent bytes without end, and the process that had called it kept them all and ran out of memory. Change: the client is the one that all other calls use, internal/relay, so there is one set of checks and bounds: 64 KiB for a head, 32 MiB for a body and for all bodies of an endpoint together, which grow as bytes arrive. As before: 16 connections at most, one request again for a read whose pooled connection was closed (relay.Error says whether the connection was reused), never for a write. A request now ends with its context. store.New can't fail any more.

--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -164,8 +164,7 @@
 	t.Cleanup(closePlatform)
 	var instances []*instance
 	for n := range 4 {
-		table, err := store.New(store.Options{Table: platform.Address()})
-		require.NoError(t, err)
+		table := store.New(store.Options{Table: platform.Address()})
 		instances = append(instances, start(t, gossip.Options{Self: member.Entry{ID: fmt.Sprint("n", n), Incarnation: 1}}, table))
 	}
 	for _, node := range instances {
--- a/internal/holder/fleet_test.go
+++ b/internal/holder/fleet_test.go
@@ -133,10 +133,7 @@
 }
 
 func (f *fleet) newStore() *store.Store {
-	s, err := store.New(store.Options{Table: f.platform.Address(), Timeout: 300 * time.Millisecond})
-	require.NoError(f.t, err)
-
-	return s
+	return store.New(store.Options{Table: f.platform.Address(), Timeout: 300 * time.Millisecond})
 }
 
 // addNode starts another node, whose service `entry` counts the increment at each observation.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -62,20 +62,18 @@
 func Start(ctx context.Context, settings config.Node, snapshot *tree.Snapshot, logs Logs) (*Node, error) {
 	ctx = context.WithoutCancel(ctx)
 	n := &Node{settings: settings, incarnation: uint64(time.Now().UnixNano()), log: logs.Log, snapshot: snapshot}
-	var err error
-	if n.store, err = store.New(store.Options{
+	n.store = store.New(store.Options{
 		Table:   settings.Platform.Table,
 		Objects: settings.Platform.Objects,
 		Timeout: settings.Platform.Timeout.Std(),
-	}); err != nil {
-		return nil, err
-	}
+	})
 	k := kernel.New(logs.Log)
 	for _, service := range n.services(logs) {
 		if err := k.Register(service); err != nil {
 			return nil, err
 		}
 	}
+	var err error
 	if n.started, err = k.Start(ctx); err != nil {
 		return nil, err
 	}
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -275,5 +275,5 @@
 		reason = call.ReasonDeadline
 	}
 
-	return &Error{Stage: stage, Reason: reason, Cause: cause}
+	return &Error{Stage: stage, Reason: reason, Reused: a.reused, Cause: cause}
 }
--- a/internal/relay/fault.go
+++ b/internal/relay/fault.go
@@ -23,6 +23,8 @@
 type Error struct {
 	Stage  Stage
 	Reason call.Reason
+	// Reused is true if the connection had carried other requests before, so that the server may have closed it for being idle.
+	Reused bool
 	Cause  error
 }
 
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -3,61 +3,50 @@
 import (
 	"bytes"
 	"context"
-	"crypto/tls"
 	"time"
 
-	"github.com/cloudwego/hertz/pkg/app/client"
-	"github.com/cloudwego/hertz/pkg/common/config"
-	"github.com/cloudwego/hertz/pkg/network"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/cloudwego/hertz/pkg/protocol"
 	"github.com/cloudwego/hertz/pkg/protocol/consts"
 	"github.com/cockroachdb/errors"
+
+	"github.com/pistachiotack/pistachiotack/internal/budget"
+	"github.com/pistachiotack/pistachiotack/internal/relay"
+	"github.com/pistachiotack/pistachiotack/pkg/call"
 )
 
 const (
 	maxConnections = 16
 	maxIdleTime    = 30 * time.Second
+	// maxResponseBytes bounds the body of a response, and those of all responses of an endpoint together.
+	maxResponseBytes = 32 << 20
 )
 
-var errDial = errors.New("dial platform")
-
-// dialer marks dial errors with errDial, so that a write that was never sent is told apart from one with an unknown effect.
-type dialer struct {
-	network.Dialer
-}
-
-// DialConnection opens a connection. Its errors wrap errDial.
-func (d dialer) DialConnection(kind, address string, timeout time.Duration, tls *tls.Config) (network.Conn, error) {
-	conn, err := d.Dialer.DialConnection(kind, address, timeout, tls)
-	if err != nil {
-		return nil, errors.WithSecondaryError(errors.Wrapf(errDial, "%v", err), err)
-	}
-
-	return conn, nil
-}
+// errNotSent means that a request found no free connection in time.
+var errNotSent = errors.New("no free connection")
 
 // endpoint is an HTTP client of one platform service, with its own circuit breaker.
 type endpoint struct {
-	baseURL string
+	address string
 	timeout time.Duration
-	client  *client.Client
-	circuit circuitBreaker
+	client  *relay.Client
+	close   func()
+	// connections has an element for each connection in use.
+	connections chan struct{}
+	buffers     *budget.Budget
+	circuit     circuitBreaker
 }
 
-func newEndpoint(address string, timeout time.Duration) (*endpoint, error) {
-	c, err := client.NewClient(
-		client.WithDialer(dialer{standard.NewDialer()}),
-		client.WithDialTimeout(timeout),
-		client.WithMaxConnsPerHost(maxConnections),
-		client.WithMaxConnWaitTimeout(timeout),
-		client.WithMaxIdleConnDuration(maxIdleTime),
-	)
-	if err != nil {
-		return nil, errors.Wrap(err, "make platform client")
-	}
+func newEndpoint(address string, timeout time.Duration) *endpoint {
+	client, closeClient := relay.NewClient(maxIdleTime)
 
-	return &endpoint{baseURL: "http://" + address, timeout: timeout, client: c}, nil
+	return &endpoint{
+		address:     address,
+		timeout:     timeout,
+		client:      client,
+		close:       closeClient,
+		connections: make(chan struct{}, maxConnections),
+		buffers:     budget.New(maxResponseBytes),
+	}
 }
 
 // request is a request to the platform; empty ETags add no header.
@@ -78,9 +67,8 @@
 	body   []byte
 }
 
-// do sends the request and records the result in the circuit breaker. The HTTP client may send a read again if a pooled connection
-// was closed; a write is sent once. Without a response, a write fails with ErrUnavailable if nothing was sent,
-// otherwise with ErrUnknownEffect.
+// do sends the request and records the result in the circuit breaker. A read may be sent again if a pooled connection was closed; a
+// write is sent once. Without a response, a write fails with ErrUnavailable if nothing was sent, otherwise with ErrUnknownEffect.
 func (e *endpoint) do(ctx context.Context, r request) (response, error) {
 	if err := ctx.Err(); err != nil {
 		return response{}, errors.Wrapf(ErrUnavailable, "%s %s: %v", r.method, r.path, err)
@@ -96,7 +84,7 @@
 	}
 	if err != nil {
 		kind := ErrUnavailable
-		if r.isWrite() && !errors.Is(err, errDial) {
+		if r.isWrite() && wasSent(err) {
 			kind = ErrUnknownEffect
 		}
 
@@ -127,34 +115,59 @@
 	return errors.Wrapf(kind, "%s %s: status %d", r.method, r.path, status)
 }
 
+// wasSent reports whether the platform may have received a request that failed.
+func wasSent(err error) bool {
+	outcome, _ := relay.OutcomeOf(err)
+
+	return outcome != call.OutcomeNotRun && !errors.Is(err, errNotSent)
+}
+
 // exchange sends the request within the timeout of the endpoint and the deadline of the context.
 func (e *endpoint) exchange(ctx context.Context, r request) (response, error) {
-	req, resp := protocol.AcquireRequest(), protocol.AcquireResponse()
-	defer protocol.ReleaseRequest(req)
-	defer protocol.ReleaseResponse(resp)
-	req.SetMethod(r.method)
-	req.SetRequestURI(e.baseURL + r.path)
-	if r.ifMatch != "" {
-		req.SetHeader("If-Match", r.ifMatch)
-	}
-	if r.ifNoneMatch != "" {
-		req.SetHeader("If-None-Match", r.ifNoneMatch)
+	ctx, cancel := context.WithTimeout(ctx, e.timeout)
+	defer cancel()
+	select {
+	case e.connections <- struct{}{}:
+		defer func() { <-e.connections }()
+	case <-ctx.Done():
+		return response{}, errNotSent
 	}
-	if r.isWrite() {
-		// The HTTP client doesn't retry a request with a body stream, so that a write isn't sent twice when its connection breaks.
-		req.SetBodyStream(bytes.NewReader(r.body), len(r.body))
+	got := &relay.Response{}
+	defer got.Close()
+	limits := relay.Limits{MaxBodyBytes: maxResponseBytes, Buffers: e.buffers, AllowCloseDelimited: true}
+	err := e.client.Do(ctx, e.address, e.newRequest(r), got, limits)
+	if !r.isWrite() && wasStale(err) {
+		e.client.CloseConnections(e.address)
+		got.Close()
+		err = e.client.Do(ctx, e.address, e.newRequest(r), got, limits)
 	}
-	timeout := e.timeout
-	if deadline, ok := ctx.Deadline(); ok {
-		timeout = min(timeout, time.Until(deadline))
+	if err != nil {
+		return response{}, err
 	}
-	if timeout <= 0 {
-		return response{}, errors.Wrap(errDial, "no time left")
+	header := &got.Response.Header
+
+	return response{status: header.StatusCode(), etag: header.Get("ETag"), body: bytes.Clone(got.Response.Body())}, nil
+}
+
+// wasStale reports whether a request failed because the platform may have closed its pooled connection before.
+func wasStale(err error) bool {
+	var failed *relay.Error
+
+	return errors.As(err, &failed) && failed.Reused && failed.Reason == call.ReasonBroken
+}
+
+func (e *endpoint) newRequest(r request) *protocol.Request {
+	out := &protocol.Request{}
+	out.Header.SetMethod(r.method)
+	out.Header.SetRequestURI(r.path)
+	out.Header.SetHost(e.address)
+	if r.ifMatch != "" {
+		out.Header.Set("If-Match", r.ifMatch)
 	}
-	req.SetOptions(config.WithRequestTimeout(timeout))
-	if err := e.client.Do(ctx, req, resp); err != nil {
-		return response{}, err
+	if r.ifNoneMatch != "" {
+		out.Header.Set("If-None-Match", r.ifNoneMatch)
 	}
+	out.SetBodyRaw(r.body)
 
-	return response{status: resp.StatusCode(), etag: resp.Header.Get("ETag"), body: bytes.Clone(resp.Body())}, nil
+	return out
 }
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -45,25 +45,20 @@
 	done           chan error
 }
 
-// New returns a client of the platform. It opens connections on demand.
-func New(options Options) (*Store, error) {
+// New returns a client of the platform. It opens connections on demand; Stop closes them.
+func New(options Options) *Store {
 	if options.Timeout <= 0 {
 		options.Timeout = defaultTimeout
 	}
 	s := &Store{done: make(chan error, 1)}
-	var err error
 	if options.Table != "" {
-		if s.table, err = newEndpoint(options.Table, options.Timeout); err != nil {
-			return nil, err
-		}
+		s.table = newEndpoint(options.Table, options.Timeout)
 	}
 	if options.Objects != "" {
-		if s.objects, err = newEndpoint(options.Objects, options.Timeout); err != nil {
-			return nil, err
-		}
+		s.objects = newEndpoint(options.Objects, options.Timeout)
 	}
 
-	return s, nil
+	return s
 }
 
 // String returns the name of the service.
@@ -76,11 +71,11 @@
 	return s.done, nil
 }
 
-// Stop closes idle connections.
+// Stop closes the connections.
 func (s *Store) Stop(context.Context) error {
 	for _, e := range []*endpoint{s.table, s.objects} {
 		if e != nil {
-			e.client.CloseIdleConnections()
+			e.close()
 		}
 	}
 	s.done <- nil
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -17,8 +17,7 @@
 	platform, cleanup, err := plat.New(t.Context(), "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(cleanup)
-	s, err := store.New(store.Options{Table: platform.Address(), Objects: platform.Address(), Timeout: timeout})
-	require.NoError(t, err)
+	s := store.New(store.Options{Table: platform.Address(), Objects: platform.Address(), Timeout: timeout})
 	t.Cleanup(func() { require.NoError(t, s.Stop(context.Background())) })
 
 	return platform, s
@@ -110,12 +109,10 @@
 }
 
 func TestWithoutPlatform(t *testing.T) {
-	s, err := store.New(store.Options{})
-	require.NoError(t, err)
-	_, err = s.Get(t.Context(), "k")
+	s := store.New(store.Options{})
+	_, err := s.Get(t.Context(), "k")
 	require.ErrorIs(t, err, store.ErrUnavailable)
-	s, err = store.New(store.Options{Table: "127.0.0.1:1"})
-	require.NoError(t, err)
+	s = store.New(store.Options{Table: "127.0.0.1:1"})
 	_, err = s.Insert(t.Context(), "k", nil)
 	require.ErrorIs(t, err, store.ErrUnavailable, "nothing was sent")
 }
