Bound the answer that an operator's command reads

A command such as status read the answer of a node to its end, up to three minutes. Cause: the body was read without a bound. Evidence: TestAnswerWithoutEndIsCutOff failed: the command read all 512 MB that the test sends. Change: an answer has at most 64 MiB, and a longer one is named as such.

--- a/internal/cmds/header_test.go
+++ b/internal/cmds/header_test.go
@@ -58,3 +58,20 @@
 	require.Equal(t, cmds.ExitUsage, code)
 	require.Contains(t, out, "line 3: atempts")
 }
+
+func TestAnswerWithoutEndIsCutOff(t *testing.T) {
+	block := make([]byte, 64<<10)
+	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for sent := 0; sent < 512<<20; sent += len(block) {
+			if _, err := w.Write(block); err != nil {
+				return
+			}
+		}
+	}))
+	defer node.Close()
+	var out bytes.Buffer
+	code := cmds.Run(cmds.Env{Context: t.Context(), Out: &out, Err: &out}, []string{"status", "--node", node.Listener.Addr().String()})
+	require.NotEqual(t, cmds.ExitOK, code)
+	require.Contains(t, out.String(), "exceeds")
+	require.Less(t, out.Len(), 1<<10)
+}
--- a/internal/cmds/operator.go
+++ b/internal/cmds/operator.go
@@ -17,6 +17,9 @@
 // decisionTimeout is how long an operator waits for an edit, which may queue behind another's trial.
 const decisionTimeout = 3 * time.Minute
 
+// maxAnswerBytes bounds the answer of a node, which is largest for the decisions that it keeps in memory.
+const maxAnswerBytes = 64 << 20
+
 // page is one request to a node's operators' listener.
 type page struct {
 	method, path string
@@ -38,10 +41,13 @@
 		return nil, errors.Wrapf(err, "ask %s", address)
 	}
 	defer func() { _ = answer.Body.Close() }()
-	body, err := io.ReadAll(answer.Body)
+	body, err := io.ReadAll(io.LimitReader(answer.Body, maxAnswerBytes+1))
 	if err != nil {
 		return nil, errors.Wrapf(err, "read answer of %s", address)
 	}
+	if len(body) > maxAnswerBytes {
+		return nil, errors.Wrapf(ErrOperator, "answer of %s exceeds %d bytes", address, maxAnswerBytes)
+	}
 	var fault holder.ErrorResponse
 	if answer.StatusCode >= http.StatusBadRequest && json.Unmarshal(body, &fault) == nil && fault.Error != "" {
 		if len(fault.Problems) > 0 {
