Ignore what a rejected response states

What callers saw: nothing that was reported; found by a test of the project's own interface. A response that was rejected behind its head, such as 101 or one to another request, could still say that the backend server is draining: its node was taken out, and requests were refused with 503. Cause: internal/exec looks at the header of a failed attempt too, since a draining server may break off, and internal/relay left the rejected header in place. Evidence: TestBrokenResponseIsNoAnswer (entry, executing node, server): 'protocol switch' failed on the commit before, 'expected 200, actual 503, a broken response does not say that the server is draining'. Change: an attempt whose header is rejected leaves an empty one. A response that breaks off in its body is believed as before.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -76,6 +76,9 @@
 		return a.newError(ctx, StageWait, waitReason(err), err)
 	}
 	if err := a.readHeader(); err != nil {
+		// the header of a rejected response, or of one to another request, states nothing
+		a.response.Response.Reset()
+
 		return a.newError(ctx, StageWait, waitReason(err), err)
 	}
 	if err := a.readBody(); err != nil {
