--- a/internal/heads/doc.go
+++ b/internal/heads/doc.go
@@ -1,2 +1,2 @@
-// Package heads prepares the heads of HTTP/1.1 messages for hertz's parser.
+// Package heads checks the heads of HTTP/1.1 responses, and prepares those of requests and responses for hertz's parser.
 package heads
