Remember that a chunked stream has ended

Cause: read the trailer again when a stream was read behind its end, and waited for bytes until the deadline. Found by reading the diff; no caller reads on. Change: the reader keeps the error that has ended the body.

--- a/internal/relay/body.go
+++ b/internal/relay/body.go
@@ -70,6 +70,8 @@
 type chunkReader struct {
 	buffered *bufio.Reader
 	body     io.Reader
+	// end is the error that has ended the body, nil before.
+	end error
 }
 
 func newChunkReader(conn io.Reader) *chunkReader {
@@ -80,12 +82,16 @@
 
 // Read returns io.EOF only behind the trailer, and io.ErrUnexpectedEOF if the connection ends before the last chunk.
 func (r *chunkReader) Read(p []byte) (int, error) {
+	if r.end != nil {
+		return 0, r.end
+	}
 	n, err := r.body.Read(p)
 	if err == io.EOF {
 		if trailerErr := r.readTrailer(); trailerErr != nil {
 			err = trailerErr
 		}
 	}
+	r.end = err
 
 	return n, err
 }
--- a/internal/relay/broken_test.go
+++ b/internal/relay/broken_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -275,6 +276,22 @@
 	}
 }
 
+func TestStreamThatHasEndedIsNotReadOn(t *testing.T) {
+	server := newSilentServer(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n")
+	client, closeClient := relay.NewClient(time.Minute)
+	t.Cleanup(closeClient)
+	response, err := open(t, client, server.address, relay.Limits{Stream: true})
+	require.NoError(t, err)
+	body, err := io.ReadAll(response.Stream)
+	require.NoError(t, err)
+	require.Equal(t, "done", string(body))
+	startedAt := time.Now()
+	_, err = response.Stream.Read(make([]byte, 1))
+	require.Equal(t, io.EOF, err)
+	require.Less(t, time.Since(startedAt), maxEndlessTime)
+	response.Close()
+}
+
 func TestBytesBehindAStreamCloseItsConnection(t *testing.T) {
 	for name, test := range map[string]struct {
 		text     string
