Dial the table service and the object store within their timeout

Cause: left the dial timeout at the default of internal/relay, 1 s, where the timeout of a request may be set higher; before, it was that timeout. Change: the timeout of the endpoint bounds the dial, as before. The stand-ins of internal/relay's tests share what accepts connections.

--- a/internal/relay/client_test.go
+++ b/internal/relay/client_test.go
@@ -32,20 +32,11 @@
 
 func newScriptedServer(t *testing.T, texts ...string) *scriptedServer {
 	t.Helper()
-	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	s := &scriptedServer{address: listener.Addr().String()}
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			s.accepted.Add(1)
-			go respond(conn, texts)
-		}
-	}()
+	s := &scriptedServer{}
+	s.address = serve(t, func(conn net.Conn) {
+		s.accepted.Add(1)
+		respond(conn, texts)
+	})
 
 	return s
 }
--- a/internal/relay/endless_test.go
+++ b/internal/relay/endless_test.go
@@ -29,20 +29,9 @@
 
 func newEndlessServer(t *testing.T, text, unit string) *endlessServer {
 	t.Helper()
-	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = listener.Close() })
-	s := &endlessServer{address: listener.Addr().String()}
+	s := &endlessServer{}
 	block := []byte(strings.Repeat(unit, max(1, (32<<10)/len(unit))))
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			go s.respond(conn, text, block)
-		}
-	}()
+	s.address = serve(t, func(conn net.Conn) { s.respond(conn, text, block) })
 
 	return s
 }
--- a/internal/relay/script_test.go
+++ b/internal/relay/script_test.go
@@ -14,34 +14,42 @@
 	"github.com/pistachiotack/pistachiotack/internal/relay"
 )
 
-// newSilentServer starts a server that answers with the text and then keeps the connection open until the client closes it.
-func newSilentServer(t *testing.T, text string) *endlessServer {
+// serve handles each connection to the returned address until the test ends.
+func serve(t *testing.T, handle func(conn net.Conn)) (address string) {
 	t.Helper()
 	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = listener.Close() })
-	s := &endlessServer{address: listener.Addr().String()}
 	go func() {
 		for {
 			conn, err := listener.Accept()
 			if err != nil {
 				return
 			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				reader := bufio.NewReader(conn)
-				if _, err := http.ReadRequest(reader); err != nil {
-					return
-				}
-				if _, err := io.WriteString(conn, text); err != nil {
-					return
-				}
-				_, _ = io.Copy(io.Discard, reader)
-				s.ended.Add(1)
-			}()
+			go handle(conn)
 		}
 	}()
 
+	return listener.Addr().String()
+}
+
+// newSilentServer starts a server that answers with the text and then keeps the connection open until the client closes it.
+func newSilentServer(t *testing.T, text string) *endlessServer {
+	t.Helper()
+	s := &endlessServer{}
+	s.address = serve(t, func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		reader := bufio.NewReader(conn)
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		if _, err := io.WriteString(conn, text); err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, reader)
+		s.ended.Add(1)
+	})
+
 	return s
 }
 
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -134,7 +134,7 @@
 	}
 	got := &relay.Response{}
 	defer got.Close()
-	limits := relay.Limits{MaxBodyBytes: maxResponseBytes, Buffers: e.buffers, AllowCloseDelimited: true}
+	limits := relay.Limits{MaxBodyBytes: maxResponseBytes, Buffers: e.buffers, AllowCloseDelimited: true, DialTimeout: e.timeout}
 	err := e.client.Do(ctx, e.address, e.newRequest(r), got, limits)
 	if !r.isWrite() && wasStale(err) {
 		e.client.CloseConnections(e.address)
