Reject responses whose bodies go on behind their stated ends

Here: a length that is too small, or a status that has no body (204, 304) before one. Cause: a response that names its request was complete whatever came behind it, since servers send further responses late. What comes behind may as well be the rest. Change: bytes behind such a response, empty lines aside, have to begin another response; otherwise it is an error. After a last chunk, or an answer to HEAD, anything may follow as before, as the end is certain there. The connection is not used again in any case.

--- a/internal/heads/response.go
+++ b/internal/heads/response.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"strings"
 
 	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/protocol"
@@ -166,6 +167,18 @@
 	return errors.Wrapf(ErrStatusLine, "%q", shorten(line))
 }
 
+// MayBeginResponse reports whether a response may begin with the bytes, as far as they go.
+func MayBeginResponse(next []byte) bool {
+	next = bytes.TrimLeft(next, "\r\n")
+	for _, version := range []string{version11, version10} {
+		if strings.HasPrefix(version, string(next[:min(len(next), versionLength)])) {
+			return true
+		}
+	}
+
+	return false
+}
+
 func isVersion(version []byte) bool {
 	return string(version) == version11 || string(version) == version10
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -221,12 +221,12 @@
 
 		return nil
 	}
-	// a response that Matches has identified is complete despite trailing bytes, but its connection must not be reused
+	certainEnd := a.hasCertainEnd()
 	trailing, err := a.bufferBody()
 	if err != nil {
 		return err
 	}
-	if trailing && (a.limits.Matches == nil || !a.named()) {
+	if trailing && !a.isCompleteDespiteTrailing(certainEnd) {
 		return errTrailingBytes
 	}
 	a.release(!trailing && a.reusable())
@@ -234,6 +234,21 @@
 	return nil
 }
 
+// hasCertainEnd reports whether the body can't go on behind its end: the last chunk marks the end, or the request asked for no body.
+func (a *attempt) hasCertainEnd() bool {
+	response := &a.response.Response
+
+	return response.SkipBody || response.Header.ContentLength() == chunkedLength && !response.MustSkipBody()
+}
+
+// isCompleteDespiteTrailing reports whether Matches has identified the response, and the bytes behind it are not the rest of its body.
+// The connection must not be reused.
+func (a *attempt) isCompleteDespiteTrailing(certainEnd bool) bool {
+	identified := a.limits.Matches != nil && a.named()
+
+	return identified && (certainEnd || heads.MayBeginResponse(a.conn.unread()))
+}
+
 // readCloseDelimitedBody reads a body that ends when the server closes the connection.
 func (a *attempt) readCloseDelimitedBody() error {
 	if !a.limits.AllowCloseDelimited {
--- a/internal/relay/broken_test.go
+++ b/internal/relay/broken_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -276,6 +277,44 @@
 	}
 }
 
+func TestBytesBehindAnIdentifiedResponse(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nX-Id: 1\r\nContent-Length: 4\r\n\r\ndone"
+	for name, test := range map[string]struct {
+		text     string
+		method   string
+		accepted bool
+	}{
+		"another response":                  {text: whole + whole, accepted: true},
+		"beginning of a response":           {text: whole + "HTT", accepted: true},
+		"empty line":                        {text: whole + "\r\n", accepted: true},
+		"empty line and a response":         {text: whole + "\r\n" + whole, accepted: true},
+		"rest of a body":                    {text: whole + " and more"},
+		"rest that resembles a status line": {text: whole + "HTTQ/1.1 200 OK"},
+		"body of no content":                {text: "HTTP/1.1 204 No Content\r\nX-Id: 1\r\n\r\ndone"},
+		"body of not modified":              {text: "HTTP/1.1 304 Not Modified\r\nX-Id: 1\r\nContent-Length: 4\r\n\r\ndone"},
+		"body of an answer to HEAD":         {text: whole, method: http.MethodHead, accepted: true},
+		"response behind chunks":            {text: "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n" + whole, accepted: true},
+		"chunks of no content":              {text: "HTTP/1.1 204 No Content\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n"},
+		"many bytes behind chunks":          {text: "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n" + strings.Repeat("more", 4<<10), accepted: true},
+		"bytes behind chunks":               {text: "HTTP/1.1 200 OK\r\nX-Id: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\nmore", accepted: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			server := newScriptedServer(t, test.text, test.text)
+			client, closeClient := relay.NewClient(time.Minute)
+			t.Cleanup(closeClient)
+			for range 2 {
+				_, err := send(t, client, server.address, test.method, relay.Limits{
+					Matches: func(*protocol.ResponseHeader) bool { return true },
+					Named:   func(header *protocol.ResponseHeader) bool { return string(header.Peek("X-Id")) == "1" },
+				})
+				require.Equal(t, test.accepted, err == nil, "%v", err)
+			}
+			require.EqualValues(t, 2, server.accepted.Load(), "the connection is not used again")
+		})
+	}
+}
+
 func TestStreamThatHasEndedIsNotReadOn(t *testing.T) {
 	server := newSilentServer(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n0\r\n\r\n")
 	client, closeClient := relay.NewClient(time.Minute)
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -98,6 +98,11 @@
 	return c.end - c.start
 }
 
+// unread returns the buffered bytes.
+func (c *conn) unread() []byte {
+	return c.buffer[c.start:c.end]
+}
+
 // Peek returns the next n bytes without consuming them, or fewer with the error that ended the read.
 func (c *conn) Peek(n int) ([]byte, error) {
 	for c.Len() < n {
--- a/internal/relay/script_test.go
+++ b/internal/relay/script_test.go
@@ -53,10 +53,17 @@
 	return s
 }
 
-// open sends a request whose response may be read until the test ends.
+// open sends a GET request whose response may be read until the test ends.
 func open(t *testing.T, client *relay.Client, address string, limits relay.Limits) (*relay.Response, error) {
 	t.Helper()
+
+	return send(t, client, address, http.MethodGet, limits)
+}
+
+func send(t *testing.T, client *relay.Client, address, method string, limits relay.Limits) (*relay.Response, error) {
+	t.Helper()
 	request := &protocol.Request{}
+	request.Header.SetMethod(method)
 	request.Header.SetRequestURI("/")
 	request.Header.SetHost(address)
 	limits.MaxBodyBytes, limits.Deadline = maxBodyBytes, time.Now().Add(attemptTimeout)
