--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -30,6 +30,7 @@
 func scripts() map[string]script {
 	return map[string]script{
 		"behind": behindClosing,
+		"slow":   slowReading,
 	}
 }
 
