--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -32,6 +32,7 @@
 		"behind": behindClosing,
 		"slow":   slowReading,
 		"large":  largeBodies,
+		"caller": statedCaller,
 	}
 }
 
