--- a/review/rig/behind.go
+++ b/review/rig/behind.go
@@ -37,7 +37,7 @@
 	rule := stand.Rule{
 		Name: "r-1", Host: hostName, Prefix: pathRead, Kind: "idempotent", Weights: map[string]float64{"vitrina": 1}, Timeout: clientBudget, Attempts: 2, Priority: 1,
 	}
-	if err := w.putRoutes(1, rule); err != nil {
+	if err := w.putRoutes(rule); err != nil {
 		return 0, err
 	}
 	if err := w.addMachines(ctx, 2, "vitrina", answerAfterWork); err != nil {
--- a/review/rig/large.go
+++ b/review/rig/large.go
@@ -41,7 +41,7 @@
 	if !trouble {
 		c.upBytes, c.downBytes = largeUpload/usualShare, largeDownload/usualShare
 	}
-	if err := w.putRoutes(1, archiveRules("vitrina", hostName, pathRead), archiveRules("catalogo", hostArchive, pathArchive)); err != nil {
+	if err := w.putRoutes(archiveRules("vitrina", hostName, pathRead), archiveRules("catalogo", hostArchive, pathArchive)); err != nil {
 		return 0, err
 	}
 	for _, service := range []string{"vitrina", "catalogo"} {
--- a/review/rig/slow.go
+++ b/review/rig/slow.go
@@ -33,7 +33,7 @@
 		{Name: "r-1", Host: hostName, Prefix: pathRead, Kind: "idempotent", Weights: map[string]float64{serviceOfSlow: 1}, Timeout: clientBudget, Attempts: 2, Priority: 1},
 		{Name: "r-2", Host: hostArchive, Prefix: pathArchive, Kind: "non_idempotent", Weights: map[string]float64{serviceOfSlow: 1}, Timeout: clientBudget, Attempts: 2},
 	}
-	if err := w.putRoutes(1, rules...); err != nil {
+	if err := w.putRoutes(rules...); err != nil {
 		return 0, err
 	}
 	s := &slowTargets{record: w.record, atOnce: !trouble}
--- a/review/rig/world.go
+++ b/review/rig/world.go
@@ -54,9 +54,9 @@
 	}, nil
 }
 
-// putRoutes writes a version of the manifest with the limits that the pages show, as the operator does.
-func (w *world) putRoutes(version int, rules ...stand.Rule) error {
-	text, err := stand.Manifest(version, rules...)
+// putRoutes writes the manifest with the limits that the pages show, as the operator does.
+func (w *world) putRoutes(rules ...stand.Rule) error {
+	text, err := stand.Manifest(1, rules...)
 	if err != nil {
 		return err
 	}
