--- a/review/rig/behind.go
+++ b/review/rig/behind.go
@@ -35,7 +35,7 @@
 // a response that closes the connection counts as not read, so that no success may follow that response.
 func behindClosing(ctx context.Context, w *world, trouble bool) (int, error) {
 	rule := stand.Rule{
-		Name: "r-1", Host: hostName, Prefix: pathRead, Kind: "idempotent", Weights: map[string]float64{"vitrina": 1}, Timeout: clientBudget, Attempts: 2, Priority: 1,
+		Name: "r-1", Host: hostName, Prefix: pathRead, Kind: kindIdempotent, Weights: map[string]float64{"vitrina": 1}, Timeout: clientBudget, Attempts: 2, Priority: 1,
 	}
 	if err := w.putRoutes(rule); err != nil {
 		return 0, err
--- a/review/rig/caller.go
+++ b/review/rig/caller.go
@@ -23,7 +23,7 @@
 // of the machine where the requests began.
 func statedCaller(ctx context.Context, w *world, trouble bool) (int, error) {
 	rule := stand.Rule{
-		Name: "r-1", Host: hostName, Prefix: pathRead, Kind: "idempotent", Weights: map[string]float64{serviceOfSlow: 1}, Timeout: clientBudget, Attempts: 2, Priority: 1,
+		Name: "r-1", Host: hostName, Prefix: pathRead, Kind: kindIdempotent, Weights: map[string]float64{serviceOfSlow: 1}, Timeout: clientBudget, Attempts: 2, Priority: 1,
 	}
 	if err := w.putRoutes(rule); err != nil {
 		return 0, err
--- a/review/rig/large.go
+++ b/review/rig/large.go
@@ -79,7 +79,7 @@
 
 func archiveRules(service, host, path string) stand.Rule {
 	return stand.Rule{
-		Name: "r-" + service, Host: host, Prefix: path, Kind: "idempotent", Weights: map[string]float64{service: 1}, Timeout: clientBudget, Attempts: 2, Priority: 1,
+		Name: "r-" + service, Host: host, Prefix: path, Kind: kindIdempotent, Weights: map[string]float64{service: 1}, Timeout: clientBudget, Attempts: 2, Priority: 1,
 	}
 }
 
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -29,10 +29,11 @@
 
 func scripts() map[string]script {
 	return map[string]script{
-		"behind": behindClosing,
-		"slow":   slowReading,
-		"large":  largeBodies,
-		"caller": statedCaller,
+		"behind":  behindClosing,
+		"slow":    slowReading,
+		"large":   largeBodies,
+		"caller":  statedCaller,
+		"answers": largeAnswers,
 	}
 }
 
--- a/review/rig/slow.go
+++ b/review/rig/slow.go
@@ -30,7 +30,7 @@
 // beginning of each body, pauses, and reads on later.
 func slowReading(ctx context.Context, w *world, trouble bool) (int, error) {
 	rules := []stand.Rule{
-		{Name: "r-1", Host: hostName, Prefix: pathRead, Kind: "idempotent", Weights: map[string]float64{serviceOfSlow: 1}, Timeout: clientBudget, Attempts: 2, Priority: 1},
+		{Name: "r-1", Host: hostName, Prefix: pathRead, Kind: kindIdempotent, Weights: map[string]float64{serviceOfSlow: 1}, Timeout: clientBudget, Attempts: 2, Priority: 1},
 		{Name: "r-2", Host: hostArchive, Prefix: pathArchive, Kind: "non_idempotent", Weights: map[string]float64{serviceOfSlow: 1}, Timeout: clientBudget, Attempts: 2},
 	}
 	if err := w.putRoutes(rules...); err != nil {
--- a/review/rig/target.go
+++ b/review/rig/target.go
@@ -18,6 +18,7 @@
 	pathHealth        = "/healthz"
 	hostName          = "hulo84.example"
 	pathRead          = "/leny950/"
+	kindIdempotent    = "idempotent"
 )
 
 // behaviour runs a request at a target, and writes the answer's body. The header of the answer is set before.
