Set each field of a forwarded message to one line

What callers and targets saw: a client that states Pistachiotack-Caller-Service in two lines passes for another service. A client's deadline and target process in two lines came through in the same way. Cause: the setters of hertz's headers change the first line of a name and keep the others. wire.ForwardRequest copies all lines of a client, and the names that a node sets were then set on the copy. Change: wire.SetField removes all lines of a name before it sets it, and all names that a node sets on HTTP messages go through it. The hop header is not copied at all.

--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -111,7 +111,7 @@
 // to another ticket.
 func (r *request) setTicketHeader() {
 	if r.home != nil && r.home.key == nil {
-		r.http.Response.Header.Set(wire.HeaderTicket, r.home.ticket.String())
+		wire.SetField(&r.http.Response.Header, wire.HeaderTicket, r.home.ticket.String())
 	}
 }
 
@@ -173,9 +173,9 @@
 	}
 	out := &r.http.Response
 	out.SetStatusCode(statusRedirect)
-	out.Header.Set("Location", location+separator+wire.QueryTicket+"="+url.QueryEscape(ticket.String()))
-	out.Header.Set(wire.HeaderOutcome, string(call.OutcomeNotRun))
-	out.Header.Set(wire.HeaderOperation, string(r.op))
+	wire.SetField(&out.Header, "Location", location+separator+wire.QueryTicket+"="+url.QueryEscape(ticket.String()))
+	wire.SetField(&out.Header, wire.HeaderOutcome, string(call.OutcomeNotRun))
+	wire.SetField(&out.Header, wire.HeaderOperation, string(r.op))
 	r.logDecision(trace.Decision{Step: trace.StepRoute, Chosen: target.ID, Outcome: call.OutcomeNotRun, Reason: call.ReasonNeedsTicket})
 
 	return nil
--- a/internal/entry/pass.go
+++ b/internal/entry/pass.go
@@ -20,8 +20,8 @@
 	out := &r.http.Response
 	out.SetStatusCode(resp.Response.StatusCode())
 	wire.CopyResponseHeaders(&out.Header, &resp.Response.Header)
-	out.Header.Set(wire.HeaderOutcome, string(call.OutcomeRan))
-	out.Header.Set(wire.HeaderOperation, string(r.op))
+	wire.SetField(&out.Header, wire.HeaderOutcome, string(call.OutcomeRan))
+	wire.SetField(&out.Header, wire.HeaderOperation, string(r.op))
 	r.setTicketHeader()
 	r.entry.metrics.Counter("answered").Inc(1)
 	if resp.Stream != nil {
--- a/internal/exec/answer.go
+++ b/internal/exec/answer.go
@@ -28,9 +28,9 @@
 	out.Header.SetRequestURIBytes(in.Header.RequestURI())
 	wire.CopyRequestHeaders(&out.Header, &in.Header)
 	out.Header.SetHostBytes(in.Header.Host())
-	out.Header.Set(wire.HeaderParent, string(x.envelope.Op))
-	out.Header.Set(wire.HeaderOperation, string(x.envelope.Op))
-	out.Header.Set(wire.HeaderTimeout, time.Until(x.deadline).Round(time.Millisecond).String())
+	wire.SetField(&out.Header, wire.HeaderParent, string(x.envelope.Op))
+	wire.SetField(&out.Header, wire.HeaderOperation, string(x.envelope.Op))
+	wire.SetField(&out.Header, wire.HeaderTimeout, time.Until(x.deadline).Round(time.Millisecond).String())
 	out.SetBodyRaw(in.Body())
 
 	return out
--- a/internal/front/handle.go
+++ b/internal/front/handle.go
@@ -234,7 +234,7 @@
 // respond sends the response to the client.
 func (r *request) respond(response *relay.Response) {
 	wire.ForwardResponse(&r.http.Response, &response.Response)
-	r.http.Response.Header.Set(headerKeepAlive, keepAlive(r.table.Limits().IdleTimeout))
+	wire.SetField(&r.http.Response.Header, headerKeepAlive, keepAlive(r.table.Limits().IdleTimeout))
 	if r.origin == fanout.OriginServers && response.Response.StatusCode() >= statusServerError {
 		r.front.demand.ObserveFailure(time.Now(), r.route.Name, r.service)
 	}
@@ -260,7 +260,7 @@
 			after = r.retryAfter()
 		}
 		seconds := decimal(max(after, 0).Seconds())
-		out.Header.Set(wire.HeaderRetryAfter, seconds)
+		wire.SetField(&out.Header, wire.HeaderRetryAfter, seconds)
 		detail += ", retry after " + seconds + " s"
 	}
 	if r.origin == fanout.OriginServers {
--- a/internal/guard/run.go
+++ b/internal/guard/run.go
@@ -203,7 +203,6 @@
 // fillRequest copies the incoming request to the one for the backend server, and sets the headers of its dialect.
 func (x *execution) fillRequest(out *protocol.Request, deadline time.Time) {
 	wire.ForwardRequest(out, x.in)
-	out.Header.Del(wire.HeaderHop)
 	x.guard.options.Dialect.SetRequestHeaders(&out.Header, RequestInfo{
 		Process:   x.process,
 		Remaining: time.Until(deadline),
--- a/internal/listen/exchange.go
+++ b/internal/listen/exchange.go
@@ -14,6 +14,7 @@
 
 	"github.com/pistachiotack/pistachiotack/internal/budget"
 	"github.com/pistachiotack/pistachiotack/internal/heads"
+	"github.com/pistachiotack/pistachiotack/internal/wire"
 )
 
 // arrivalKey is the key under which a request context holds the time at which a delayed request arrived.
@@ -22,6 +23,9 @@
 // sentKey is the key under which a request context holds the function that is called when its response is no longer held.
 const sentKey = "listen.sent"
 
+// headerConnection is the header that says whether the connection ends with the response.
+const headerConnection = "Connection"
+
 // responseContinue is the interim response that asks the client for the request body.
 const responseContinue = "HTTP/1.1 100 Continue\r\n\r\n"
 
@@ -74,9 +78,9 @@
 	header.ResetConnectionClose()
 	switch {
 	case last:
-		header.SetCanonical([]byte("Connection"), []byte("close"))
+		wire.SetField(header, headerConnection, "close")
 	case !x.ctx.Request.Header.IsHTTP11():
-		header.SetCanonical([]byte("Connection"), []byte("keep-alive"))
+		wire.SetField(header, headerConnection, "keep-alive")
 	}
 	if !x.ctx.IsGet() && x.ctx.IsHead() {
 		response.SkipBody = true
@@ -133,7 +137,7 @@
 	switch {
 	case errors.Is(err, budget.ErrFull):
 		x.ctx.AbortWithMsg(budget.ErrFull.Error(), consts.StatusServiceUnavailable)
-		x.ctx.Response.Header.Set("Retry-After", fullRetryAfter)
+		wire.SetField(&x.ctx.Response.Header, wire.HeaderRetryAfter, fullRetryAfter)
 	case errors.As(err, &fault) && fault.Timeout():
 		x.ctx.AbortWithMsg("Request timeout", consts.StatusRequestTimeout)
 	case errors.Is(err, hertzerrors.ErrBodyTooLarge):
--- a/internal/relay/writer.go
+++ b/internal/relay/writer.go
@@ -6,6 +6,8 @@
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/network"
 	"github.com/cloudwego/hertz/pkg/protocol/http1/resp"
+
+	"github.com/pistachiotack/pistachiotack/internal/wire"
 )
 
 // BodyWriter writes a response body piece by piece and can abort it, so that the receiver notices that the body is incomplete.
@@ -20,7 +22,7 @@
 	if length < 0 {
 		writer = resp.NewChunkedBodyWriter(&ctx.Response, ctx.GetWriter())
 	} else {
-		ctx.Response.Header.Set("Content-Length", strconv.FormatInt(length, 10))
+		wire.SetField(&ctx.Response.Header, "Content-Length", strconv.FormatInt(length, 10))
 		ctx.Response.Header.SetContentLength(int(length))
 		writer = &lengthWriter{ctx: ctx}
 	}
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/pistachiotack/pistachiotack/internal/budget"
 	"github.com/pistachiotack/pistachiotack/internal/relay"
+	"github.com/pistachiotack/pistachiotack/internal/wire"
 	"github.com/pistachiotack/pistachiotack/pkg/call"
 )
 
@@ -162,10 +163,10 @@
 	out.Header.SetRequestURI(r.path)
 	out.Header.SetHost(e.address)
 	if r.ifMatch != "" {
-		out.Header.Set("If-Match", r.ifMatch)
+		wire.SetField(&out.Header, "If-Match", r.ifMatch)
 	}
 	if r.ifNoneMatch != "" {
-		out.Header.Set("If-None-Match", r.ifNoneMatch)
+		wire.SetField(&out.Header, "If-None-Match", r.ifNoneMatch)
 	}
 	out.SetBodyRaw(r.body)
 
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -20,7 +20,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode envelope")
 	}
-	header.Set(HeaderEnvelope, string(value))
+	SetField(header, HeaderEnvelope, string(value))
 
 	return nil
 }
@@ -45,7 +45,7 @@
 	if err != nil {
 		return errors.Wrap(err, "encode feedback")
 	}
-	header.Set(HeaderFeedback, string(value))
+	SetField(header, HeaderFeedback, string(value))
 
 	return nil
 }
--- a/internal/wire/hop.go
+++ b/internal/wire/hop.go
@@ -65,7 +65,7 @@
 
 // SetHop sets the hop header of a request.
 func SetHop(header *protocol.RequestHeader, hop Hop) {
-	header.Set(HeaderHop, strings.Join([]string{
+	SetField(header, HeaderHop, strings.Join([]string{
 		url.QueryEscape(hop.Route),
 		url.QueryEscape(hop.Service),
 		url.QueryEscape(hop.Caller),
@@ -134,7 +134,7 @@
 	for _, need := range report.Needs {
 		needs = append(needs, formatPair(need.Service, need.Calls))
 	}
-	header.Set(HeaderReport, strings.Join([]string{
+	SetField(header, HeaderReport, strings.Join([]string{
 		string(report.Outcome),
 		string(report.Reason),
 		report.State,
--- a/internal/wire/pass.go
+++ b/internal/wire/pass.go
@@ -2,7 +2,8 @@
 
 import "github.com/cloudwego/hertz/pkg/protocol"
 
-// ForwardRequest fills an empty outgoing request from the incoming one: method, URI, body and all end-to-end headers unchanged.
+// ForwardRequest fills an empty outgoing request from the incoming one: method, URI, body and all end-to-end headers unchanged,
+// except the hop header, which is not accepted from callers.
 //
 // The two requests share the body.
 func ForwardRequest(out, in *protocol.Request) {
@@ -11,7 +12,7 @@
 	out.Header.SetRequestURIBytes(in.Header.RequestURI())
 	in.Header.VisitAll(func(key, value []byte) {
 		switch {
-		case hopByHop[string(key)]:
+		case hopByHop[string(key)], string(key) == HeaderHop:
 		case string(key) == "Content-Type":
 			out.Header.SetContentTypeBytes(value)
 		case string(key) == "User-Agent":
--- a/internal/wire/refuse.go
+++ b/internal/wire/refuse.go
@@ -82,8 +82,8 @@
 	}
 	response.SetStatusCode(status)
 	response.Header.SetContentType(problemType)
-	response.Header.Set(HeaderOutcome, string(refusal.Outcome))
-	response.Header.Set(HeaderOperation, string(operation))
+	SetField(&response.Header, HeaderOutcome, string(refusal.Outcome))
+	SetField(&response.Header, HeaderOperation, string(operation))
 	setRetryAfter(&response.Header, refusal.RetryAfter)
 	response.SetBodyRaw(body)
 }
@@ -104,6 +104,6 @@
 	if delay <= 0 {
 		return
 	}
-	header.Set(HeaderRetryAfter, strconv.Itoa(int(math.Ceil(delay.Seconds()))))
-	header.Set(HeaderRetryAfterDuration, delay.Round(time.Millisecond).String())
+	SetField(header, HeaderRetryAfter, strconv.Itoa(int(math.Ceil(delay.Seconds()))))
+	SetField(header, HeaderRetryAfterDuration, delay.Round(time.Millisecond).String())
 }
