State one range when a download is resumed

What callers saw: a caller that asks for a range in two lines and whose download breaks off midway gets the rest under two ranges, the missing one and its own second one. A backend server that reads the last line, or the list, sends other bytes or the whole archive. The request for the rest is the caller's, and its Range and If-Range were set with hertz's setter. Evidence and test: TestResumedDownloadStatesOneRange failed before with [bytes=3097152-7000000 bytes=0-1]. Change: both fields are set with wire.SetField. Result: the test passes. The first request of such a download is forwarded as it came.

--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -11,6 +11,7 @@
 
 	"github.com/pistachiotack/pistachiotack/internal/relay"
 	"github.com/pistachiotack/pistachiotack/internal/trace"
+	"github.com/pistachiotack/pistachiotack/internal/wire"
 	"github.com/pistachiotack/pistachiotack/pkg/call"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
 )
@@ -140,8 +141,8 @@
 func (d *download) requestRest(c context.Context) *call.Refusal {
 	header := &d.request.http.Request.Header
 	offset := d.first + d.sent
-	header.Set("Range", "bytes="+strconv.FormatInt(offset, 10)+"-"+strconv.FormatInt(d.first+d.length-1, 10))
-	header.Set("If-Range", d.etag)
+	wire.SetField(header, "Range", "bytes="+strconv.FormatInt(offset, 10)+"-"+strconv.FormatInt(d.first+d.length-1, 10))
+	wire.SetField(header, "If-Range", d.etag)
 	resp, failure := d.request.fetch(c)
 	if failure != nil {
 		return failure
