Keep all lines of a remembered response

What callers saw: a repetition of a once operation got the remembered response without some of its header lines. Of several lines with one name, such as Link, only the last came. The fields of a remembered response were set one after the other, and each line replaced the one before. Evidence and test: TestRememberedResponseHasAllLines failed before, ["</b>; rel=prev"] instead of two lines. Change: exec.Response.Fill adds the lines; the executing node and the entry node use it in place of two loops. Result: the test passes.

--- a/internal/entry/probe.go
+++ b/internal/entry/probe.go
@@ -167,9 +167,5 @@
 func setResponse(resp *relay.Response, stored exec.Response) {
 	resp.Close()
 	resp.Stream = nil
-	resp.Response.SetStatusCode(stored.Status)
-	for _, field := range stored.Fields {
-		resp.Response.Header.Set(field.Name, field.Value)
-	}
-	resp.Response.SetBody(stored.Body)
+	stored.Fill(&resp.Response)
 }
--- a/internal/exec/calls.go
+++ b/internal/exec/calls.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/cloudwego/hertz/pkg/protocol"
+
 	"github.com/pistachiotack/pistachiotack/pkg/call"
 	"github.com/pistachiotack/pistachiotack/pkg/fence"
 )
@@ -22,6 +24,15 @@
 	Body   []byte
 }
 
+// Fill writes the response into an empty one. Fields with the same name keep a line each.
+func (r Response) Fill(out *protocol.Response) {
+	out.SetStatusCode(r.Status)
+	for _, field := range r.Fields {
+		out.Header.Add(field.Name, field.Value)
+	}
+	out.SetBody(r.Body)
+}
+
 // Verdict is the state of an attempt at an executing node, and the outcome that its sender may rely on.
 type Verdict = fence.Verdict[Response]
 
--- a/internal/exec/guard.go
+++ b/internal/exec/guard.go
@@ -133,12 +133,7 @@
 
 // replayResponse sends the response of an earlier attempt.
 func (x *execution) replayResponse(response Response) {
-	out := &x.http.Response
-	out.SetStatusCode(response.Status)
-	for _, field := range response.Fields {
-		out.Header.Set(field.Name, field.Value)
-	}
-	out.SetBody(response.Body)
+	response.Fill(&x.http.Response)
 	x.setFeedback(call.Feedback{Outcome: call.OutcomeRan, Reason: call.ReasonDuplicate, Digest: digest(response.Body)})
 	x.exec.metrics.Counter("remembered").Inc(1)
 	x.logDecision(trace.StepResolve, call.OutcomeRan, call.ReasonDuplicate, "response of an earlier attempt")
--- a/internal/node/lines_test.go
+++ b/internal/node/lines_test.go
@@ -10,6 +10,8 @@
 	"github.com/stretchr/testify/require"
 )
 
+const onceKind = "\n[service.keuring.kind.signoff]\nmethod = \"POST\"\npath = \"/signoffs\"\nonce = true\n"
+
 // Guards against a resumed download whose request has the range that is missing and one that the caller asked for.
 func TestResumedDownloadStatesOneRange(t *testing.T) {
 	content := archiveContent(1)
@@ -36,3 +38,29 @@
 	require.Len(t, ranges, 2)
 	require.Len(t, ranges[1], 1, "the resumed request states one range")
 }
+
+// Guards against a remembered response that has only the last of several lines with the same name.
+func TestRememberedResponseHasAllLines(t *testing.T) {
+	links := []string{"</a>; rel=next", "</b>; rel=prev"}
+	cookies := []string{"a=1; Path=/", "b=2; Path=/"}
+	var runs atomic.Int64
+	nodes := startFleet(t, testTree+onceKind, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		runs.Add(1)
+		w.Header()["Link"], w.Header()["Set-Cookie"] = links, cookies
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write([]byte("{}"))
+	}))
+	client := http.Client{CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	redirect, err := client.Do(newCall(t, nodes[0], http.MethodPost, "/signoffs", ""))
+	require.NoError(t, err)
+	require.NoError(t, redirect.Body.Close())
+	require.Equal(t, http.StatusTemporaryRedirect, redirect.StatusCode)
+	for _, from := range []string{"backend server", "memory"} {
+		response := do(t, newCall(t, nodes[0], http.MethodPost, redirect.Header.Get("Location"), ""))
+		require.Equal(t, http.StatusOK, response.status, string(response.body))
+		require.Equal(t, links, response.header.Values("Link"), "response from the %s", from)
+		require.ElementsMatch(t, cookies, response.header.Values("Set-Cookie"), "response from the %s", from)
+		require.Equal(t, []string{"application/json"}, response.header.Values("Content-Type"))
+	}
+	require.EqualValues(t, 1, runs.Load())
+}
