Assign a response with two request IDs to no request

What callers saw: a faulty backend server's response with two different request IDs was taken for the one to the request that it states first, and handed out with 200, though it may be another request's. Cause: only the first line of a name was read. A client or proxy that reads the last line, or the list, takes it for another request. Equal lines are one ID, before and after. Change: wire.SingleValue returns an error if the lines of a name differ; the guard discards such a response like one with another ID.

--- a/internal/guard/run.go
+++ b/internal/guard/run.go
@@ -218,12 +218,14 @@
 		x.guard.handleStatement(x.process, info)
 	}
 
-	return info.RequestID == "" || info.RequestID == x.id
+	return !info.Ambiguous && (info.RequestID == "" || info.RequestID == x.id)
 }
 
 // namesRequest reports whether a response carries the ID of its request.
 func (x *execution) namesRequest(header *protocol.ResponseHeader) bool {
-	return x.guard.options.Dialect.ParseResponse(header.StatusCode(), header).RequestID != ""
+	info := x.guard.options.Dialect.ParseResponse(header.StatusCode(), header)
+
+	return info.Ambiguous || info.RequestID != ""
 }
 
 // reportFailure returns the report on an attempt that got no complete response.
--- a/internal/guard/speak.go
+++ b/internal/guard/speak.go
@@ -63,6 +63,8 @@
 type ResponseInfo struct {
 	// RequestID is empty if the response has none.
 	RequestID string
+	// Ambiguous is true if the response states several request IDs. It belongs to no request then.
+	Ambiguous bool
 	// NotRun is true if the backend server did not run the request and will not.
 	NotRun bool
 	// WrongProcess is true if the request reached another process than the one in RequestInfo.
--- a/internal/wire/field_test.go
+++ b/internal/wire/field_test.go
@@ -48,3 +48,29 @@
 		require.Len(t, out.Header.GetAll(wire.HeaderHop), 1)
 	})
 }
+
+func TestSingleValue(t *testing.T) {
+	for name, test := range map[string]struct {
+		lines []string
+		value string
+		err   error
+	}{
+		"none":             {},
+		"one":              {lines: []string{"a"}, value: "a"},
+		"equal lines":      {lines: []string{"a", "a", "a"}, value: "a"},
+		"different lines":  {lines: []string{"a", "a", "b"}, err: wire.ErrAmbiguousField},
+		"first is empty":   {lines: []string{"", "b"}, err: wire.ErrAmbiguousField},
+		"in another case":  {lines: []string{"a", "A"}, err: wire.ErrAmbiguousField},
+		"list in one line": {lines: []string{"a, b"}, value: "a, b"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var header protocol.RequestHeader
+			for _, line := range test.lines {
+				header.Add(wire.HeaderIdempotencyKey, line)
+			}
+			value, err := wire.SingleValue(&header, wire.HeaderIdempotencyKey)
+			require.ErrorIs(t, err, test.err)
+			require.Equal(t, test.value, value)
+		})
+	}
+}
