Refuse requests with two idempotency keys

What callers saw: of two lines with different idempotency keys the first was claimed, and both reached the backend server. A repetition with the other key would claim that one and run the operation again (by reading; the test shows the key that is accepted). Cause: only the first line of a name was read. Evidence and test: TestRequestWithTwoIdempotencyKeysIsRefused failed before (503, the table is away in it, instead of 400). Change: such a request of a once kind gets 400, notRun, with the name of the header. Result: the test passes.

--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -42,10 +42,13 @@
 // either gets a ticket by redirect, and any other call runs like a call of another kind.
 func (r *request) runOnce(c context.Context) *call.Refusal {
 	ticket, hasTicket, refusal := r.takeTicket()
-	key := string(r.http.Request.Header.Peek(wire.HeaderIdempotencyKey))
 	if refusal != nil {
 		return refusal
 	}
+	key, err := wire.SingleValue(&r.http.Request.Header, wire.HeaderIdempotencyKey)
+	if err != nil {
+		return badRequestRefusal(err)
+	}
 	r.mayHaveRun = hasTicket || key != ""
 	if refusal = r.validate(); refusal != nil {
 		return r.adjustOutcome(refusal)
@@ -93,17 +96,17 @@
 	request.SetRequestURI(path)
 	rawTicket, err := url.QueryUnescape(rawTicket)
 	if err != nil {
-		return claim.Ticket{}, false, badTicketRefusal(err)
+		return claim.Ticket{}, false, badRequestRefusal(err)
 	}
 	ticket, err := claim.ParseTicket(rawTicket)
 	if err != nil {
-		return claim.Ticket{}, false, badTicketRefusal(err)
+		return claim.Ticket{}, false, badRequestRefusal(err)
 	}
 
 	return ticket, true, nil
 }
 
-func badTicketRefusal(err error) *call.Refusal {
+func badRequestRefusal(err error) *call.Refusal {
 	return call.NewRefusal(call.OutcomeNotRun, call.ReasonBadRequest).WithDetail("%v", err)
 }
 
--- a/internal/node/lines_test.go
+++ b/internal/node/lines_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/pistachiotack/pistachiotack/internal/wire"
 )
 
 const onceKind = "\n[service.keuring.kind.signoff]\nmethod = \"POST\"\npath = \"/signoffs\"\nonce = true\n"
@@ -64,3 +66,16 @@
 	}
 	require.EqualValues(t, 1, runs.Load())
 }
+
+// Guards against an operation that runs under one of two keys, while the backend server or a repetition goes by the other.
+func TestRequestWithTwoIdempotencyKeysIsRefused(t *testing.T) {
+	var runs atomic.Int64
+	nodes := startFleet(t, testTree+onceKind, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) }))
+	request := newCall(t, nodes[0], http.MethodPost, "/signoffs", "")
+	request.Header[wire.HeaderIdempotencyKey] = []string{"first", "second"}
+	response := do(t, request)
+	require.Equal(t, http.StatusBadRequest, response.status)
+	require.Equal(t, "notRun", response.header.Get(wire.HeaderOutcome))
+	require.Contains(t, string(response.body), wire.HeaderIdempotencyKey)
+	require.Zero(t, runs.Load())
+}
