--- a/internal/wire/pass.go
+++ b/internal/wire/pass.go
@@ -41,7 +41,7 @@
 		switch {
 		case hopByHop[string(key)], string(key) == HeaderReport:
 		case dedicatedHeaders[string(key)]:
-			out.Header.SetCanonical(key, value)
+			out.Header.SetCanonical(key, value) //nolint:forbidigo // these have a field of their own, or a line for each cookie
 		default:
 			out.Header.AddArgBytes(key, value, protocol.ArgsHasValue)
 		}
