Take no request behind a response that closes its connection

Where the body behind stayed unfinished, the connection ended only with the read timeout, up to 30 s later. Cause: pkg/order decided which response is the last one among the requests accepted so far. It did not know of the one that the reader had begun. Accept started that request, since it looked only at whether the client had hung up. With /1 held and the first part of /2 sent, releasing /1 under DisableKeepAlives gave Connection: close, and the rest of /2 was answered behind it. Change: the queue knows of the request that is being read (BeginRead, Reading). A response that asks to close, or a hang-up, abandons it: Accept returns false, and the request is neither run nor answered, nor rejected with 400, 408 or 413. The reader's deadline goes through the queue's lock, so that a reader in the middle of a head or body is woken, and the client reads the end at once.

--- a/internal/listen/body.go
+++ b/internal/listen/body.go
@@ -4,7 +4,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"time"
 
 	hertzerrors "github.com/cloudwego/hertz/pkg/common/errors"
 	"github.com/cloudwego/hertz/pkg/network"
@@ -128,7 +127,7 @@
 	request := &x.ctx.Request
 	length := request.Header.ContentLength()
 	if length > 0 || length == chunkedLength {
-		if err := x.ctx.GetConn().SetReadDeadline(time.Now().Add(readTimeout)); err != nil {
+		if err := x.extendRead(readTimeout); err != nil {
 			return err
 		}
 	}
--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -50,15 +50,15 @@
 	queue     *order.Queue
 	exchanges map[int]*exchange
 	writing   bool
-	// idle is true while the reader waits for the first byte of a request, and parked while it must not read a request but watches
-	// the connection for its end.
-	idle, parked bool
+	// idle is true while the reader waits for the first byte of a request, parked while it must not read a request but watches the
+	// connection for its end, and reading while it reads a request.
+	idle, parked, reading bool
 	// unread is the number of bytes in the input buffer while the reader is parked.
 	unread int
 	// served is true once a request has been read.
 	served bool
-	// mayHaveUnread is true once a request has been read before the response to the one before it was sent, or has been rejected: the
-	// client may have sent bytes that are never read.
+	// mayHaveUnread is true once a request has been read before the response to the one before it was sent, or has been rejected or
+	// abandoned: the client may have sent bytes that are never read.
 	mayHaveUnread bool
 }
 
@@ -172,7 +172,9 @@
 		_, err := c.conn.Peek(wanted)
 		switch {
 		case err == nil && ready:
-			return c.beginRead()
+			if c.beginRead() {
+				return true
+			}
 		case err == nil:
 		case !c.interrupted(err):
 			c.hangUp()
@@ -224,22 +226,37 @@
 	return c.parked || c.queue.Open() > 0 || c.queue.Ended()
 }
 
-// beginRead prepares the connection for reading a request whose first bytes have arrived.
+// beginRead prepares the connection for reading a request whose first bytes have arrived. It returns false if the request must not be
+// read any more.
 func (c *connection) beginRead() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle, c.served = false, true
-	if c.queue.Ended() {
+	c.idle = false
+	if !c.queue.BeginRead() {
+		c.mayHaveUnread = true
+
 		return false
 	}
+	c.reading, c.served = true, true
 	_ = c.conn.SetReadDeadline(time.Now().Add(c.protocol.server.limits().HeaderTimeout))
 
 	return true
 }
 
+// extendRead gives the request that is being read more time. It returns errAbandoned if the request is not wanted any more.
+func (c *connection) extendRead(timeout time.Duration) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.queue.Reading() {
+		return errAbandoned
+	}
+
+	return c.conn.SetReadDeadline(time.Now().Add(timeout))
+}
+
 // acceptRequest reads a request and starts it unless it has to wait. The error is not nil if the connection can't be used any more.
 func (c *connection) acceptRequest(ctx context.Context) error {
-	x := &exchange{ctx: c.protocol.acquire(c.conn), arrivedAt: time.Now()}
+	x := &exchange{ctx: c.protocol.acquire(c.conn), arrivedAt: time.Now(), extendRead: c.extendRead}
 	err := x.read(c.protocol.server)
 	if err == nil && x.ctx.Request.MayContinue() {
 		if err = c.waitForResponses(); err == nil {
@@ -247,8 +264,7 @@
 		}
 	}
 	if err != nil && disconnected(err) {
-		c.protocol.server.bodies.Release(x.reserved)
-		c.protocol.recycle(x.ctx)
+		c.discard(x)
 		c.hangUp()
 
 		return err
@@ -265,14 +281,20 @@
 	return nil
 }
 
+// discard frees what a request holds that has not been added to the queue.
+func (c *connection) discard(x *exchange) {
+	c.protocol.server.bodies.Release(x.reserved)
+	c.protocol.recycle(x.ctx)
+}
+
 // waitForResponses waits until no request is in progress, since an interim response must not overtake other responses.
 func (c *connection) waitForResponses() error {
 	for {
 		c.mu.Lock()
-		open, ended := c.queue.Open(), c.queue.Ended()
+		open, reading := c.queue.Open(), c.queue.Reading()
 		c.mu.Unlock()
-		if ended {
-			return io.EOF
+		if !reading {
+			return errAbandoned
 		}
 		if open == 0 {
 			return nil
@@ -281,14 +303,21 @@
 	}
 }
 
-// enqueue adds a request to the queue. One that could not be read already has its response.
+// enqueue adds a request to the queue unless it has been abandoned. One that could not be read already has its response.
 func (c *connection) enqueue(ctx context.Context, x *exchange, handled bool) {
-	c.protocol.server.beginRequest()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.reading = false
 	c.mayHaveUnread = c.mayHaveUnread || !handled || c.queue.Open() > 0
-	var start bool
-	x.sequence, start = c.queue.Accept(order.Request{Exclusive: x.exclusive && handled, Last: x.closes})
+	sequence, start, accepted := c.queue.Accept(order.Request{Exclusive: x.exclusive && handled, Last: x.closes})
+	if !accepted {
+		c.mayHaveUnread = true
+		c.discard(x)
+
+		return
+	}
+	c.protocol.server.beginRequest()
+	x.sequence = sequence
 	c.exchanges[x.sequence] = x
 	switch {
 	case !handled:
--- a/internal/listen/exchange.go
+++ b/internal/listen/exchange.go
@@ -32,6 +32,9 @@
 // fullRetryAfter is the Retry-After in seconds of a request whose body finds no memory.
 const fullRetryAfter = "1"
 
+// errAbandoned means that the connection ends with the response to an earlier request.
+var errAbandoned = errors.New("request behind a response that closes the connection")
+
 // exchange is a request of a connection and its response.
 type exchange struct {
 	ctx       *app.RequestContext
@@ -40,6 +43,8 @@
 	exclusive bool
 	// reserved is the number of bytes that the request body takes of the server's budget.
 	reserved int
+	// extendRead sets how long the read of the request may take from now on. It returns errAbandoned if the request is not wanted any more.
+	extendRead func(timeout time.Duration) error
 	// closes is true if the client asked to close the connection after the response.
 	closes bool
 }
--- a/internal/listen/send.go
+++ b/internal/listen/send.go
@@ -38,7 +38,11 @@
 func (c *connection) complete(x *exchange) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.queue.Complete(x.sequence, x.responseBytes(), x.closes || x.ctx.Response.ConnectionClose())
+	closes := x.closes || x.ctx.Response.ConnectionClose()
+	c.queue.Complete(x.sequence, x.responseBytes(), closes)
+	if closes && c.reading {
+		c.wakeReader()
+	}
 }
 
 // sendResponses writes the responses that are due, unless another goroutine is doing so.
@@ -102,7 +106,7 @@
 
 // wakeReader ends the reader's wait for bytes of the client. The mutex must be held.
 func (c *connection) wakeReader() {
-	if c.idle || c.parked {
+	if c.idle || c.parked || c.reading {
 		_ = c.conn.SetReadDeadline(time.Unix(1, 0))
 	}
 	c.notify()
--- a/pkg/order/queue.go
+++ b/pkg/order/queue.go
@@ -33,12 +33,17 @@
 
 // Queue holds the requests of one connection that have no sent response, in the order in which they were read. Requests are
 // identified by their sequence number, which begins with 0.
+//
+// Once a response asks to close the connection, or the client has hung up, the connection takes no further request: the one that is
+// being read at that time is abandoned. The client sends it again, since it counts as unread behind a response that closes.
 type Queue struct {
 	limits Limits
 	// exchanges are the requests from sequence number first on.
 	exchanges []exchange
 	first     int
 	held      int
+	// reading is true while the next request is being read.
+	reading bool
 	// exclusive is true while an exclusive request is in the queue.
 	exclusive bool
 	closing   bool
@@ -52,7 +57,22 @@
 
 // MayRead reports whether the next request may be read.
 func (q *Queue) MayRead() bool {
-	return !q.closing && !q.hungUp && !q.exclusive && len(q.exchanges) < q.limits.Requests && q.held < q.limits.HeldBytes
+	return !q.reading && !q.closing && !q.hungUp && !q.exclusive && len(q.exchanges) < q.limits.Requests && q.held < q.limits.HeldBytes
+}
+
+// BeginRead records that the next request is being read from now on. It returns false if the request must not be read.
+func (q *Queue) BeginRead() bool {
+	if !q.MayRead() {
+		return false
+	}
+	q.reading = true
+
+	return true
+}
+
+// Reading reports whether a request is being read. It is false as soon as that request is abandoned.
+func (q *Queue) Reading() bool {
+	return q.reading
 }
 
 // Open returns the number of requests without a sent response.
@@ -65,23 +85,28 @@
 	return q.hungUp || q.closing && len(q.exchanges) == 0
 }
 
-// Accept adds a request that MayRead has allowed to be read, and reports whether it starts now.
-func (q *Queue) Accept(request Request) (sequence int, start bool) {
+// Accept adds the request that was being read, and reports whether it starts now. It returns false for accepted if the request has been
+// abandoned: it must be neither run nor answered.
+func (q *Queue) Accept(request Request) (sequence int, start, accepted bool) {
+	if !q.reading {
+		return 0, false, false
+	}
+	q.reading = false
 	sequence = q.first + len(q.exchanges)
-	start = !q.hungUp && (!request.Exclusive || len(q.exchanges) == 0)
+	start = !request.Exclusive || len(q.exchanges) == 0
 	next := exchange{state: stateWaiting}
 	if start {
 		next.state = stateRunning
 	}
 	q.exchanges = append(q.exchanges, next)
 	q.exclusive = request.Exclusive
-	q.closing = q.closing || request.Last
+	q.closing = request.Last
 
-	return sequence, start
+	return sequence, start, true
 }
 
-// Complete records the response to a running request, with its size in bytes and whether it asks to close the connection. From then
-// on no request is read or started, but those that are running are still answered.
+// Complete records the response to a running request, with its size in bytes and whether it asks to close the connection. If it does, no
+// request is read or started from then on, but those that are running are still answered.
 func (q *Queue) Complete(sequence, bytes int, closes bool) {
 	x := &q.exchanges[sequence-q.first]
 	x.state, x.bytes = stateDone, bytes
@@ -89,7 +114,7 @@
 	if !closes {
 		return
 	}
-	q.closing = true
+	q.closing, q.reading = true, false
 	if last := len(q.exchanges) - 1; last >= 0 && q.exchanges[last].state == stateWaiting {
 		q.exchanges = q.exchanges[:last]
 		q.exclusive = false
@@ -125,5 +150,5 @@
 
 // HangUp records that the client has closed the connection: nothing is read, started or sent any more.
 func (q *Queue) HangUp() {
-	q.hungUp = true
+	q.hungUp, q.reading = true, false
 }
