Test interim heads without a valid status

An interim head with such a status had no test. Change: two cases of TestResponseWithoutAValidStatusLineIsRejected (buffered, streamed and close-delimited), 000 and 099 in front of a whole answer. Conclusion: nothing to mend; kept as tests.

--- a/internal/relay/broken_test.go
+++ b/internal/relay/broken_test.go
@@ -71,6 +71,8 @@
 		"carriage return":         "HTTP/1.1 200 OK\r",
 		"only a status":           "200 OK",
 		"interim, then no status": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK",
+		"interim of status 000":   "HTTP/1.1 000 Continue\r\n\r\nHTTP/1.1 200 OK",
+		"interim of status 099":   "HTTP/1.1 099 Continue\r\n\r\nHTTP/1.1 200 OK",
 		"switching protocols":     "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: other/1",
 	} {
 		t.Run(name, func(t *testing.T) {
