Let clients read a closing response in front of unread requests

What callers saw: a client that sends further requests behind one that runs alone could get a reset connection in place of the response to it, where that response closed the connection. Cause: the connection lingers before it is closed only if a request was read beside another one. Requests that were buffered behind an exclusive one count as unread, but did not count for this; closing a socket with unread bytes resets it. Change: bytes that arrive while no request may be read count as well. A client that sends in the instant of the close can still be reset; it has the response by then or sends on another connection.

--- a/internal/listen/behind_test.go
+++ b/internal/listen/behind_test.go
@@ -122,3 +122,26 @@
 	c.send(head, body)
 	c.expect("answer /2 " + body)
 }
+
+// Guards against a closing response that the client loses: requests behind one that ran alone were unread when the connection was closed,
+// which resets it.
+func TestClosingResponseArrivesBesideUnreadRequests(t *testing.T) {
+	for name, first := range map[string]string{"alone": post("/1", "one"), "side by side": get("/1")} {
+		t.Run(name, func(t *testing.T) {
+			b := newBackend()
+			b.closes["/1"] = true
+			c := dial(t, startServer(t, b, listen.Options{}))
+			c.send(first, post("/2", "two"), strings.Repeat(get("/3"), 6000))
+			b.awaitStarted(t, 1)
+			time.Sleep(pieceInterval)
+			b.release("/1")
+			time.Sleep(4 * pieceInterval)
+			body := "answer /1 "
+			if name == "alone" {
+				body += "one"
+			}
+			require.True(t, c.expect(body))
+			c.expectEnd()
+		})
+	}
+}
--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -57,7 +57,7 @@
 	unread int
 	// served is true once a request has been read.
 	served bool
-	// mayHaveUnread is true once a request has been read before the response to the one before it was sent, or has been rejected or
+	// mayHaveUnread is true once a request has arrived before the response to the one before it was sent, or has been rejected or
 	// abandoned: the client may have sent bytes that are never read.
 	mayHaveUnread bool
 }
@@ -154,6 +154,7 @@
 		open := c.queue.Open()
 		ready := c.queue.MayRead()
 		c.idle, c.parked, c.unread = ready, !ready, c.conn.Len()
+		c.mayHaveUnread = c.mayHaveUnread || c.parked && c.unread > 0
 		c.setIdleDeadline(open)
 		c.mu.Unlock()
 		wanted := 1
