Wait in a planned stop for requests that are being read

What callers saw: an upload that was on its way when its node was stopped was cut without an answer, though it was complete 3.3 s after the signal and the grace period is 6 s: a node with nothing else to do had ended after 3.1 s. Cause: a request counted as open from when it had been read as a whole. The queue of a connection knows of the one that is being read since; the number of open requests, which a planned stop waits for, did not. One that takes longer than the grace period is cut and has not run.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -247,7 +247,7 @@
 	f.server.GiveUp()
 }
 
-// Active returns the number of requests whose responses have not been sent as a whole.
+// Active returns the number of requests that are being read or whose responses have not been sent as a whole.
 func (f *Front) Active() int64 {
-	return f.server.OpenRequests()
+	return f.server.ActiveRequests()
 }
--- a/internal/listen/behind_test.go
+++ b/internal/listen/behind_test.go
@@ -66,7 +66,7 @@
 					c.expectEnd()
 					require.Less(t, time.Since(closedAt), endTimeout)
 					require.Equal(t, []string{"/1"}, b.startedPaths())
-					require.Eventually(t, func() bool { return server.OpenRequests() == 0 }, patience, time.Millisecond)
+					require.Eventually(t, func() bool { return server.ActiveRequests() == 0 }, patience, time.Millisecond)
 				})
 			}
 		}
--- a/internal/listen/conn.go
+++ b/internal/listen/conn.go
@@ -98,6 +98,7 @@
 // end cancels the requests that are still in progress if the client has hung up, and lets the client read the last response.
 func (c *connection) end() {
 	c.mu.Lock()
+	c.endRead()
 	answered := c.queue.Ended() && c.queue.Open() == 0
 	linger := answered && c.mayHaveUnread
 	if !answered {
@@ -145,18 +146,10 @@
 // waitForRequest waits until the first bytes of a request have arrived that may be read, and reports whether there is one.
 func (c *connection) waitForRequest() bool {
 	for {
-		c.mu.Lock()
-		if c.queue.Ended() {
-			c.mu.Unlock()
-
+		ready, ended := c.beginWait()
+		if ended {
 			return false
 		}
-		open := c.queue.Open()
-		ready := c.queue.MayRead()
-		c.idle, c.parked, c.unread = ready, !ready, c.conn.Len()
-		c.mayHaveUnread = c.mayHaveUnread || c.parked && c.unread > 0
-		c.setIdleDeadline(open)
-		c.mu.Unlock()
 		wanted := 1
 		if !ready {
 			wanted += c.conn.Len()
@@ -185,6 +178,22 @@
 	}
 }
 
+// beginWait prepares the connection for the wait for further bytes, and reports whether a request may be read then and whether the
+// connection is over.
+func (c *connection) beginWait() (ready, ended bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.queue.Ended() {
+		return false, true
+	}
+	ready = c.queue.MayRead()
+	c.idle, c.parked, c.unread = ready, !ready, c.conn.Len()
+	c.mayHaveUnread = c.mayHaveUnread || c.parked && c.unread > 0
+	c.setIdleDeadline(c.queue.Open())
+
+	return ready, false
+}
+
 // waitForChange waits until a response has been sent. It returns false if the client has closed the connection meanwhile, which a read
 // would show only after all bytes before it.
 func (c *connection) waitForChange() bool {
@@ -239,11 +248,20 @@
 		return false
 	}
 	c.reading, c.served = true, true
+	c.protocol.server.reading.Add(1)
 	_ = c.conn.SetReadDeadline(time.Now().Add(c.protocol.server.limits().HeaderTimeout))
 
 	return true
 }
 
+// endRead notes that no request is being read any more. The mutex must be held.
+func (c *connection) endRead() {
+	if c.reading {
+		c.reading = false
+		c.protocol.server.reading.Add(-1)
+	}
+}
+
 // extendRead gives the request that is being read more time. It returns errAbandoned if the request is not wanted any more.
 func (c *connection) extendRead(timeout time.Duration) error {
 	c.mu.Lock()
@@ -308,7 +326,7 @@
 func (c *connection) enqueue(ctx context.Context, x *exchange, handled bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = false
+	defer c.endRead()
 	c.mayHaveUnread = c.mayHaveUnread || !handled || c.queue.Open() > 0
 	sequence, start, accepted := c.queue.Accept(order.Request{Exclusive: x.exclusive && handled, Last: x.closes})
 	if !accepted {
--- a/internal/listen/drain.go
+++ b/internal/listen/drain.go
@@ -46,7 +46,7 @@
 	return nil
 }
 
-// idle reports whether no request is in progress and none ended within connectionGrace.
+// idle reports whether no request is being read or in progress and none ended within connectionGrace.
 func (s *Server) idle() bool {
-	return s.openRequests.Load() == 0 && time.Since(time.Unix(0, s.lastEndedAt.Load())) >= connectionGrace
+	return s.ActiveRequests() == 0 && time.Since(time.Unix(0, s.lastEndedAt.Load())) >= connectionGrace
 }
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -60,6 +60,8 @@
 	cancelHandlers context.CancelFunc
 	// openRequests is the number of requests that have been read and have no sent response.
 	openRequests atomic.Int64
+	// reading is the number of requests whose first bytes have arrived and which have not been read as a whole.
+	reading atomic.Int64
 	// lastEndedAt is when the latest request ended, in Unix nanoseconds.
 	lastEndedAt atomic.Int64
 }
@@ -200,6 +202,11 @@
 	return s.openRequests.Load()
 }
 
+// ActiveRequests returns the number of requests that are being read or whose responses have not been sent.
+func (s *Server) ActiveRequests() int64 {
+	return s.reading.Load() + s.openRequests.Load()
+}
+
 func (s *Server) waitForResponses(ctx context.Context) {
 	ctx, cancelShare := waits.WithShare(ctx, sendShare)
 	defer cancelShare()
