Read the lines of a response's Content-Encoding as one list

What callers saw: a response with two lines of Content-Encoding, the last one empty, was handed out with 200 though its body is encoded and not the target's. On the product's own interface, of two encodings the first was lost, so that a caller could not decode the body. Cause: hertz's parser keeps the last line of this name. Change: internal/heads, which sees all lines, makes one list of them.

--- a/internal/heads/reader_test.go
+++ b/internal/heads/reader_test.go
@@ -115,6 +115,24 @@
 	return string(header.Peek("X")), err
 }
 
+// Guards against an encoding that is lost: the parser keeps the last of several lines, though they are one list.
+func TestLinesOfContentEncodingAreOneList(t *testing.T) {
+	for head, expected := range map[string]string{
+		"":                           "",
+		"Content-Encoding: gzip\r\n": "gzip",
+		"Content-Encoding: gzip\r\nContent-Encoding: br\r\n":    "gzip, br",
+		"Content-Encoding: gzip\r\nContent-Encoding:\r\n":       "gzip",
+		"CONTENT-ENCODING:\r\ncontent-encoding: gzip\r\n":       "gzip",
+		"Content-Encoding: gzip,\r\n br\r\n":                    "gzip, br",
+		"Content-Encoding:\r\nX: a\r\nContent-Encoding: \r\n":   "",
+		"Content-Encodings: gzip\r\nA-Content-Encoding: br\r\n": "",
+	} {
+		var header protocol.ResponseHeader
+		require.NoError(t, heads.ReadResponse(&header, newPieces(responseLine+head+"\r\n")))
+		require.Equal(t, expected, string(header.ContentEncoding()), head)
+	}
+}
+
 func TestContinuationOfTheStartLineIsRejected(t *testing.T) {
 	var header protocol.RequestHeader
 	require.Error(t, req.ReadHeader(&header, heads.NewReader(newPieces("GET / HTTP/1.1\r\n X: a\r\nHost: b\r\n\r\n"))))
--- a/internal/heads/response.go
+++ b/internal/heads/response.go
@@ -48,6 +48,10 @@
 		// the parser knows no lists of codings
 		header.SetContentLength(length)
 	}
+	if len(checked.encodings) > 0 {
+		// the parser keeps the last line only, though the lines are one list
+		header.SetContentEncoding(strings.Join(checked.encodings, ", "))
+	}
 
 	return nil
 }
@@ -84,6 +88,8 @@
 	// folded is true if a field goes on in a further line.
 	folded  bool
 	framing framing
+	// encodings are the values of Content-Encoding, in order, without empty ones.
+	encodings []string
 }
 
 // read waits for the whole head, and returns the buffered bytes, which begin with it.
@@ -151,6 +157,9 @@
 // endField adds the last field to the framing, as its value has ended.
 func (h *responseHead) endField(buffered []byte) error {
 	name, value, _ := bytes.Cut(buffered[h.field:h.fieldEnd], []byte{':'})
+	if value = bytes.Trim(value, blanks); len(value) > 0 && equalFold(name, "content-encoding") {
+		h.encodings = append(h.encodings, string(bytes.Join(bytes.Fields(value), []byte{' '})))
+	}
 
 	return h.framing.addField(name, value)
 }
