--- a/review/rig-3/memory.go
+++ b/review/rig-3/memory.go
@@ -21,19 +21,19 @@
 const (
 	// downloads is the number of clients that ask for a drawing, one each, within downloadsWithin from downloadsAt on. Each books once
 	// before, within warmUpTime.
-	downloads       = 80
+	downloads       = 28
 	downloadsAt     = 2 * time.Second
-	downloadsWithin = 600 * time.Millisecond
+	downloadsWithin = 1200 * time.Millisecond
 	warmUpTime      = time.Second
 	// drawingBytes is the size of a drawing, and slowRate what a slow client reads of it in bytes per second.
-	drawingBytes = 5 << 20
-	slowRate     = 1500 << 10
+	drawingBytes = 16 << 20
+	slowRate     = 4 << 20
 	// bookers is the number of clients that book, one booking after the other until the end of the load.
-	bookers      = 8
+	bookers      = 2
 	loadTime     = 8 * time.Second
 	clientTime   = 6 * time.Second
 	bookingWork  = 290 * time.Millisecond
-	drawingWork  = 700 * time.Millisecond
+	drawingWork  = 1300 * time.Millisecond
 	bookingBytes = 5000
 	// memoryInterval is the time between two looks at the memory of a process.
 	memoryInterval = 20 * time.Millisecond
@@ -41,7 +41,7 @@
 	maxUnanswered = 3
 )
 
-// slowReaders lets many clients of one machine read large downloads slowly, and ends a process that takes more memory than its machine has.
+// slowReaders lets the clients of one machine read large downloads slowly, and ends a process that takes more memory than its machine has.
 func slowReaders(ctx context.Context, r *recorder, trouble bool) (bool, error) {
 	rules := []stand.Rule{
 		{
