--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -17,6 +17,7 @@
 // cases maps the name of a case to what plays it, which reports whether the rule held.
 var cases = map[string]func(ctx context.Context, r *recorder, trouble bool) (held bool, err error){
 	"memory": slowReaders,
+	"freeze": frozenReader,
 }
 
 func main() {
