--- a/review/rig-3/calls.go
+++ b/review/rig-3/calls.go
@@ -43,7 +43,7 @@
 		machineSpec{service: archive, slots: 62, work: fixedWork(callWork, callBytes)},
 		machineSpec{service: showroom, slots: 54, work: fixedWork(browseWork, browseBytes)},
 		machineSpec{service: "kalendar", slots: 26, work: fixedWork(browseWork, browseBytes)},
-		machineSpec{service: "pokladna", slots: 62, work: fixedWork(browseWork, browseBytes)})
+		machineSpec{service: bookingDesk, slots: 62, work: fixedWork(browseWork, browseBytes)})
 	defer f.close()
 	if err != nil {
 		return false, err
--- a/review/rig-3/freeze.go
+++ b/review/rig-3/freeze.go
@@ -34,7 +34,7 @@
 func frozenReader(ctx context.Context, r *recorder, trouble bool) (bool, error) {
 	f, err := newFleet(ctx, r, drawingsAndBookings(),
 		machineSpec{service: archive, slots: 62, work: fixedWork(frozenDrawingWork, frozenDrawingBytes)},
-		machineSpec{service: "pokladna", slots: 62, work: fixedWork(bookingWork, bookingBytes)},
+		machineSpec{service: bookingDesk, slots: 62, work: fixedWork(bookingWork, bookingBytes)},
 		machineSpec{service: showroom, slots: 54, work: fixedWork(bookingWork, bookingBytes)})
 	defer f.close()
 	if err != nil {
--- a/review/rig-3/load.go
+++ b/review/rig-3/load.go
@@ -21,6 +21,8 @@
 	archive = "archiv"
 	// showroom is the service of the catalogue.
 	showroom = "vitrina"
+	// bookingDesk is the service of the bookings.
+	bookingDesk = "pokladna"
 	// memoryInterval is the time between two looks at the memory of a process.
 	memoryInterval = 20 * time.Millisecond
 	// maxUnanswered is how many requests the rule LOST allows to be passed on and not answered.
@@ -35,7 +37,7 @@
 			Timeout: clientTime, Attempts: 2, Priority: 2,
 		},
 		{
-			Name: "rezervace", Host: host, Prefix: "/rezervace/", Kind: "non_idempotent", Weights: map[string]float64{"pokladna": 1},
+			Name: "rezervace", Host: host, Prefix: "/rezervace/", Kind: "non_idempotent", Weights: map[string]float64{bookingDesk: 1},
 			Timeout: clientTime, Attempts: 2,
 		},
 	}
--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -16,10 +16,11 @@
 
 // cases maps the name of a case to what plays it, which reports whether the rule held.
 var cases = map[string]func(ctx context.Context, r *recorder, trouble bool) (held bool, err error){
-	"memory": slowReaders,
-	"freeze": frozenReader,
-	"calls":  slowCallers,
-	"method": unusualMethod,
+	"memory":  slowReaders,
+	"freeze":  frozenReader,
+	"smuggle": smuggling,
+	"calls":   slowCallers,
+	"method":  unusualMethod,
 }
 
 func main() {
--- a/review/rig-3/memory.go
+++ b/review/rig-3/memory.go
@@ -34,7 +34,7 @@
 	f, err := newFleet(ctx, r, drawingsAndBookings(),
 		machineSpec{service: archive, slots: 62, work: drawing},
 		machineSpec{service: archive, slots: 62, work: drawing},
-		machineSpec{service: "pokladna", slots: 62, work: fixedWork(bookingWork, bookingBytes)},
+		machineSpec{service: bookingDesk, slots: 62, work: fixedWork(bookingWork, bookingBytes)},
 		machineSpec{service: showroom, slots: 54, work: fixedWork(bookingWork, bookingBytes)})
 	defer f.close()
 	if err != nil {
