--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -20,7 +20,7 @@
 	"freeze":  frozenReader,
 	"smuggle": smuggling,
 	"calls":   slowCallers,
-	"method":  unusualMethod,
+	"refuse":  spoiledAnswers,
 }
 
 func main() {
--- a/review/rig-3/target.go
+++ b/review/rig-3/target.go
@@ -34,6 +34,8 @@
 	server      *http.Server
 	// work is how long a request runs, and size the length of the response in bytes.
 	work func(r *http.Request) (work time.Duration, size int)
+	// spoilEvery makes the target spoil the answer to each so many requests that it has run, zero for none: status 503 without a signature.
+	spoilEvery int
 
 	mu       sync.Mutex
 	sequence int
@@ -84,6 +86,7 @@
 	}
 	t.mu.Lock()
 	t.runs[id] = run{method: r.Method, path: r.URL.Path, at: time.Now()}
+	spoil := t.spoilEvery > 0 && len(t.runs)%t.spoilEvery == 0
 	t.mu.Unlock()
 	work, size := t.work(r)
 	select {
@@ -91,6 +94,11 @@
 	case <-r.Context().Done():
 		return
 	}
+	if spoil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+
+		return
+	}
 	w.Header().Set(headerSignature, "signed."+id)
 	w.Header().Set("Content-Length", strconv.Itoa(size))
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(unreadTime))
