--- a/review/rig-3/refuse.go
+++ b/review/rig-3/refuse.go
@@ -4,13 +4,16 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
+	"sync/atomic"
 
 	"github.com/pistachiotack/pistachiotack/platform/stand"
 )
 
 const (
-	// orders is the number of orders that a client books, one after the other, in turn at each machine.
-	orders = 300
+	// orders is the number of orders that each of the clients books, one after the other. The clients are divided among the machines.
+	orders       = 100
+	orderClients = 9
 	// spoilEvery makes the target spoil one answer of twenty, 0.05 of them.
 	spoilEvery = 20
 	// clientRetries is how often a client books an order again after a promise that it was not booked.
@@ -43,18 +46,24 @@
 		f.machines[0].target.spoilEvery = spoilEvery
 	}
 	l := &ledger{fleet: f, record: r}
-	refused, twice := 0, 0
-	for i := range orders {
-		falsely, booked := l.bookOrder(ctx, l.newClient(i%len(f.machines)), fmt.Sprintf("order%d", i))
-		refused += falsely
-		if booked > 1 {
-			twice++
-		}
+	var refused, twice atomic.Int64
+	var clients sync.WaitGroup
+	for i := range orderClients {
+		clients.Go(func() {
+			for n := range orders {
+				falsely, booked := l.bookOrder(ctx, l.newClient(i%len(f.machines)), fmt.Sprintf("order%d-%d", i, n))
+				refused.Add(int64(falsely))
+				if booked > 1 {
+					twice.Add(1)
+				}
+			}
+		})
 	}
+	clients.Wait()
 	r.note("%d bookings were answered with a promise that they had not run, and had run; the rule allows none; %d of %d orders were booked twice",
-		refused, twice, orders)
+		refused.Load(), twice.Load(), orders*orderClients)
 
-	return refused == 0, nil
+	return refused.Load() == 0, nil
 }
 
 // bookOrder books an order as clients do: again, under a new id, after a promise. It returns the number of promises that were false, and how
