--- a/review/rig-3/calls.go
+++ b/review/rig-3/calls.go
@@ -15,11 +15,13 @@
 	// callers is the number of runs at the target that make calls at the same time. Each makes usualCalls calls before the one that it
 	// reads slowly, so that the node knows their size and their origin. The calls of the runs begin within callersWithin.
 	callers       = 25
-	callersWithin = 1500 * time.Millisecond
-	usualCalls    = 3
-	slowCallsAt   = 3 * time.Second
+	callersWithin = 2500 * time.Millisecond
+	usualCalls    = 2
+	slowCallsAt   = 3500 * time.Millisecond
 	callBytes     = 16 << 20
-	callWork      = 15 * time.Millisecond
+	// callRate is what the target reads of a response to its slow calls in bytes per second.
+	callRate = 3 << 20
+	callWork = 15 * time.Millisecond
 	// browsers is the number of clients that browse at the machine of the calls, one request after the other until the end of the load.
 	browsers    = 5
 	browseTime  = 8 * time.Second
@@ -51,7 +53,7 @@
 	stopWatch := f.enforceMemory(ctx, r)
 	rate := 0
 	if trouble {
-		rate = slowRate
+		rate = callRate
 	}
 	l := &ledger{fleet: f, record: r}
 	var users sync.WaitGroup
