Deny no run by the status that a backend server has chosen

Callers saw a 503 for bookings that had run.

Cause: two statements were taken for one. Whether a call ran is what its backend server did, and the guard kept that rightly: only a response with Pistachiotack-Not-Executed counts as notRun. Which status the client reads was taken from the backend server as it came. The entry node itself held that the request had run and passed on a status by which it had not.

The client's status is now checked where it leaves the node, whichever attempt, node or route it comes from: pkg/reply holds that a status that promises notRun ends no request with another outcome. Such a response is replaced by 502, which promises nothing, without the signature, since a signed failure has to have the status of its server. The report between nodes is as before, so retries of idempotent requests, the choice of targets and the estimates learn what they did. The refusal is logged with reason falseRefusal and the status that was given.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -21,6 +21,7 @@
 	"github.com/pistachiotack/pistachiotack/pkg/leave"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
 	"github.com/pistachiotack/pistachiotack/pkg/quota"
+	"github.com/pistachiotack/pistachiotack/pkg/reply"
 	"github.com/pistachiotack/pistachiotack/pkg/routes"
 	"github.com/pistachiotack/pistachiotack/pkg/shed"
 )
@@ -98,6 +99,7 @@
 	RequestID(header *protocol.RequestHeader) string
 	// Remaining returns how long the client waits for the response, false if the header is missing or invalid.
 	Remaining(header *protocol.RequestHeader) (time.Duration, bool)
+	reply.Dialect
 }
 
 // Options configure the service.
--- a/internal/front/handle.go
+++ b/internal/front/handle.go
@@ -16,16 +16,14 @@
 	"github.com/pistachiotack/pistachiotack/internal/wire"
 	"github.com/pistachiotack/pistachiotack/pkg/call"
 	"github.com/pistachiotack/pistachiotack/pkg/fanout"
+	"github.com/pistachiotack/pistachiotack/pkg/reply"
 	"github.com/pistachiotack/pistachiotack/pkg/routes"
 	"github.com/pistachiotack/pistachiotack/pkg/shed"
 )
 
 const (
-	statusNotFound    = 404
-	statusBadGateway  = 502
-	statusUnavailable = 503
-	statusTimeout     = 504
 	statusServerError = 500
+	statusUnavailable = 503
 )
 
 // headerKeepAlive is the header that states the idle timeout of a connection to the client.
@@ -248,7 +246,7 @@
 
 // refuse responds to the client with an error status.
 func (r *request) refuse(refusal *call.Refusal) {
-	status := statusOf(refusal)
+	status := reply.Status(refusal)
 	out := &r.http.Response
 	out.SetStatusCode(status)
 	// clients retry on a new connection, so this one would only stay idle
@@ -270,20 +268,6 @@
 	r.traceDecision(trace.StepRefuse, "", refusal.Outcome, refusal.Reason, detail)
 }
 
-// statusOf returns the HTTP status of a refusal; 503 is reserved for requests that were not run and will not be.
-func statusOf(refusal *call.Refusal) int {
-	switch {
-	case refusal.Outcome == call.OutcomeNotRun && refusal.Reason == call.ReasonUnknownService:
-		return statusNotFound
-	case refusal.Outcome == call.OutcomeNotRun:
-		return statusUnavailable
-	case refusal.Reason == call.ReasonDeadline:
-		return statusTimeout
-	default:
-		return statusBadGateway
-	}
-}
-
 func (r *request) traceDecision(step trace.Step, chosen string, outcome call.Outcome, reason call.Reason, detail string) {
 	decision := trace.Decision{
 		Step:    step,
--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -14,6 +14,7 @@
 	"github.com/pistachiotack/pistachiotack/pkg/call"
 	"github.com/pistachiotack/pistachiotack/pkg/fatal"
 	"github.com/pistachiotack/pistachiotack/pkg/member"
+	"github.com/pistachiotack/pistachiotack/pkg/reply"
 	"github.com/pistachiotack/pistachiotack/pkg/route"
 	"github.com/pistachiotack/pistachiotack/pkg/routes"
 )
@@ -38,6 +39,9 @@
 
 				continue
 			}
+			if refusal = reply.Check(r.front.options.Dialect, call.OutcomeRan, response.Response.StatusCode()); refusal != nil {
+				return refusal
+			}
 			r.respond(response)
 
 			return nil
--- a/pkg/call/outcome.go
+++ b/pkg/call/outcome.go
@@ -67,7 +67,9 @@
 	// ReasonBackendShed means that the backend server itself refused the call under load.
 	ReasonBackendShed Reason = "backendShed"
 	// ReasonBackendFault means that the backend server responded with an error.
-	ReasonBackendFault   Reason = "backendFault"
+	ReasonBackendFault Reason = "backendFault"
+	// ReasonFalseRefusal means that the backend server may have run the call and responded with a status that states otherwise.
+	ReasonFalseRefusal   Reason = "falseRefusal"
 	ReasonUnknownService Reason = "unknownService"
 	ReasonBadRequest     Reason = "badRequest"
 	// ReasonNoParent means that the operation named as parent is not running on the node.
