Take no response for a refusal that its signature contradicts

Callers of requests that may run once could have them run at two servers under one ID, or be told by 503 that they had not run, when a server that had run them answered 421, or stated Pistachiotack-Not-Executed beside its signature (TWICE, REFUSED).

Cause: the same two statements taken for one, on the way in. The guard took any 421 for a request that did not run and any Pistachiotack-Not-Executed for the truth, also in a response with the signature that a server sets only after the run. The entry node then sent the request to another server, or promised that it had not run.

A signature now outweighs what else denies the run: the call ran. A 421 without a signature still says that the process is not the one that was meant, and the node still marks that one as lost; that nothing ran is concluded only if the response states it. PROTOCOL.md says that no other response does, and a caller who may pay twice is better off with a 502 than with a second run.

--- a/internal/guard/run.go
+++ b/internal/guard/run.go
@@ -273,7 +273,7 @@
 	case info.WrongProcess:
 		x.handleWrongProcess()
 
-		return wire.Report{Outcome: call.OutcomeNotRun, Reason: call.ReasonWrongIncarnation}
+		return wire.Report{Outcome: info.refusalOutcome(), Reason: call.ReasonWrongIncarnation}
 	case info.NotRun:
 		return wire.Report{Outcome: call.OutcomeNotRun, Reason: call.ReasonBackendShed}
 	case info.Encoded, !info.Signed && status < minServerError:
--- a/internal/guard/speak.go
+++ b/internal/guard/speak.go
@@ -65,9 +65,10 @@
 	RequestID string
 	// Ambiguous is true if the response states several request IDs. It belongs to no request then.
 	Ambiguous bool
-	// NotRun is true if the backend server did not run the request and will not.
+	// NotRun is true if the backend server states that it did not run the request and will not, and nothing in the response contradicts it.
 	NotRun bool
-	// WrongProcess is true if the request reached another process than the one in RequestInfo.
+	// WrongProcess is true if the response is that of another process than the one in RequestInfo, which doesn't run the request. Whether
+	// it states that too is in NotRun.
 	WrongProcess bool
 	// Process is the ID of the process that responded.
 	Process string
@@ -87,6 +88,15 @@
 	return i.RequestID != "" && i.RequestID == requestID && !i.WrongProcess && (i.Signed || i.NotRun)
 }
 
+// refusalOutcome returns the outcome of a request that the backend server has evidently not taken on.
+func (i ResponseInfo) refusalOutcome() call.Outcome {
+	if i.NotRun {
+		return call.OutcomeNotRun
+	}
+
+	return call.OutcomeUnknown
+}
+
 // queueLimits returns the limits for a server with that many slots, whose rate limit may not be known yet.
 func queueLimits(slots int, limitUnknown bool) queue.Limits {
 	maxRunning := min(max(int(maxRunningShare*float64(slots)), 1), slots)
