Hold a backend server faulty that denies what it has run by a status below 500

Cause: only a status of 500 and above made a response a failure of its server. One that the server signs and that denies the run counted as served, so the server stayed in use, and its short latency even made it look the better one.

Such a response counts as a failure like the others now, with the same rule for failed calls of the server: a choice of another server, and a retry of what may run more than once, within the budget. Responses of 500 and above count as they did.

--- a/internal/front/run.go
+++ b/internal/front/run.go
@@ -118,7 +118,7 @@
 		r.dispatched++
 	}
 	if report.Outcome == call.OutcomeRan {
-		return nil, report.LocalFault && response.Response.StatusCode() >= statusServerError
+		return nil, report.LocalFault
 	}
 
 	refusal = call.NewRefusal(report.Outcome, report.Reason)
--- a/internal/guard/run.go
+++ b/internal/guard/run.go
@@ -280,7 +280,7 @@
 		return wire.Report{Outcome: call.OutcomeUnknown, Reason: call.ReasonTorn}
 	}
 	report := wire.Report{Outcome: call.OutcomeRan, Reason: call.ReasonOK}
-	if status >= minServerError {
+	if status >= minServerError || info.PromisesNotRun {
 		report.Reason = call.ReasonBackendFault
 		report.LocalFault = !x.guard.demand.FailedRecently(time.Now())
 	}
--- a/internal/guard/speak.go
+++ b/internal/guard/speak.go
@@ -67,6 +67,8 @@
 	Ambiguous bool
 	// NotRun is true if the backend server states that it did not run the request and will not, and nothing in the response contradicts it.
 	NotRun bool
+	// PromisesNotRun is true if clients conclude from the status alone that the request did not run and will not.
+	PromisesNotRun bool
 	// WrongProcess is true if the response is that of another process than the one in RequestInfo, which doesn't run the request. Whether
 	// it states that too is in NotRun.
 	WrongProcess bool
