Require a refusing status for a backend server's statement that it ran nothing

Callers of the project's own interface whose request had run got 503 with the outcome notRun, and the request was sent to a second server before, when the response of the first one had Pistachiotack-Outcome: notRun with a status such as 200 or 404. A handler that copies the headers of a call of its own does that.

--- a/internal/exec/adapt.go
+++ b/internal/exec/adapt.go
@@ -16,9 +16,10 @@
 
 const (
 	// tickInterval is the minimum time between two checks of the queue for calls that have waited too long.
-	tickInterval         = 5 * time.Millisecond
-	statusServerError    = 500
-	statusGatewayTimeout = 504
+	tickInterval          = 5 * time.Millisecond
+	statusServerError     = 500
+	statusTooManyRequests = 429
+	statusGatewayTimeout  = 504
 )
 
 // AdaptiveOptions configure an AdaptiveAdmitter.
--- a/internal/exec/answer.go
+++ b/internal/exec/answer.go
@@ -54,7 +54,7 @@
 	if load, reported := wire.Load(header); reported {
 		completion.Load = load
 	}
-	if string(header.Peek(wire.HeaderOutcome)) == string(call.OutcomeNotRun) {
+	if refused(status, header) {
 		completion.Shed = true
 
 		return completion, x.backendRefusal()
@@ -78,6 +78,14 @@
 	return completion, nil
 }
 
+// refused reports whether the backend server states that it refused the call. The statement needs a status that refuses, since a handler
+// may copy the header from the response to a call of its own.
+func refused(status int, header *protocol.ResponseHeader) bool {
+	refuses := status == statusTooManyRequests || status >= statusServerError
+
+	return refuses && string(header.Peek(wire.HeaderOutcome)) == string(call.OutcomeNotRun)
+}
+
 // backendRefusal returns the refusal for a call that the backend server refused. If nested calls have spent credits, it is final:
 // no node may retry the call.
 func (x *execution) backendRefusal() *call.Refusal {
