--- a/internal/guard/speak.go
+++ b/internal/guard/speak.go
@@ -90,7 +90,7 @@
 	return i.RequestID != "" && i.RequestID == requestID && !i.WrongProcess && (i.Signed || i.NotRun)
 }
 
-// refusalOutcome returns the outcome of a request that the backend server has evidently not taken on.
+// refusalOutcome returns the outcome of a request that another process has answered: notRun only if that process states it.
 func (i ResponseInfo) refusalOutcome() call.Outcome {
 	if i.NotRun {
 		return call.OutcomeNotRun
